--- /dev/null
+++ b/src/base/hash.hpp
@@ -0,0 +1,18 @@
+// Hashing that is the same in every process of the fleet (xxHash).
+#pragma once
+
+#include <cstdint>
+#include <string_view>
+
+namespace plantaintally
+{
+
+// A 64-bit hash of the text that is equal in every process and version.
+std::uint64_t stable_hash(std::string_view text, std::uint64_t seed = 0);
+
+// The weight of a node for a key in rendezvous hashing: the node with the
+// highest weight is the key's home.
+std::uint64_t rendezvous_weight(std::string_view node_address,
+                                std::string_view key);
+
+} // namespace plantaintally
--- /dev/null
+++ b/src/messages/control_message.hpp
@@ -0,0 +1,30 @@
+// Every control message between nodes, grouped by the subject that owns it.
+#pragma once
+
+#include "base/ids.hpp"
+#include "base/moment.hpp"
+#include "configuration/messages.hpp"
+#include "membership/messages.hpp"
+#include "once/messages.hpp"
+#include "query/messages.hpp"
+
+#include <variant>
+
+namespace plantaintally
+{
+
+using control_message = std::variant<membership::message,
+                                     configuration::message,
+                                     once::message,
+                                     query::message>;
+
+// A control message with its sender, as sent over the peer link. Delivery is
+// at least once or not at all; every subject tolerates both.
+struct control_envelope
+{
+    node_id sender;
+    hybrid_time sent_at;
+    control_message message;
+};
+
+} // namespace plantaintally
--- /dev/null
+++ b/src/node/state.hpp
@@ -0,0 +1,46 @@
+// The whole state of a node, owned in one place.
+#pragma once
+
+#include "base/random.hpp"
+#include "configuration/configuration.hpp"
+#include "membership/membership.hpp"
+#include "messages/step.hpp"
+#include "once/once.hpp"
+
+#include <string>
+#include <vector>
+
+namespace plantaintally::node
+{
+
+// What the node is started with; from the settings file.
+struct options
+{
+    node_id self;
+    std::string availability_zone;
+    // Peer addresses to contact first; may be empty.
+    std::vector<std::string> contacts;
+    std::uint64_t seed = 1;
+    // Longest time a planned stop waits for requests in flight.
+    duration stop_limit = std::chrono::seconds(60);
+    // False turns every policy off: requests pass through with three blind
+    // retries a hop. For comparison in measurements only.
+    bool is_policy_enabled = true;
+};
+
+// State of the node; the reducer is the only one to change it.
+struct state
+{
+    options own;
+    random_source random;
+    id_source ids;
+    timeline::hybrid_clock clock;
+    membership::state membership;
+    configuration::state configuration;
+    once::state once;
+};
+
+// A node that has seen no event yet.
+state make_state(options const& own);
+
+} // namespace plantaintally::node
--- /dev/null
+++ b/src/node/statistics.hpp
@@ -0,0 +1,32 @@
+// Counters and gauges of a node, for metrics and for operators' queries.
+#pragma once
+
+#include "node/state.hpp"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace plantaintally::node
+{
+
+enum class statistic_kind
+{
+    counter,
+    gauge
+};
+
+// One figure: a Prometheus name without the "plantaintally_" prefix, its
+// labels in a fixed order, and the value in the base unit of its name.
+struct statistic
+{
+    std::string name;
+    statistic_kind kind = statistic_kind::counter;
+    std::vector<std::pair<std::string, std::string>> labels;
+    double value = 0;
+};
+
+// Every figure of the node, in order of name and labels.
+std::vector<statistic> collect_statistics(state const& node);
+
+} // namespace plantaintally::node
--- /dev/null
+++ b/src/once/once.hpp
@@ -0,0 +1,152 @@
+// At most one execution of each keyed request, also when callers repeat it
+// through other nodes: epochs of homes, vouches, and the record of keys.
+#pragma once
+
+#include "base/verdict.hpp"
+#include "membership/messages.hpp"
+#include "messages/step.hpp"
+#include "once/messages.hpp"
+
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace plantaintally::once
+{
+
+// Fixed times of the protocol; see docs/AT-MOST-ONCE.md for the assumptions.
+struct options
+{
+    node_id self;
+    std::string availability_zone;
+    // A vouch counts this long, from when it was asked for.
+    duration vouch_lifetime = std::chrono::seconds(3);
+    // Bound on how much two monotonic clocks drift apart over that time, and
+    // on how much two wall clocks differ.
+    duration drift_margin = std::chrono::milliseconds(300);
+    duration wall_clock_skew = std::chrono::milliseconds(500);
+    // A key is remembered this long; older time-ordered keys are refused.
+    duration retry_horizon = std::chrono::minutes(10);
+    // Keys that this home holds at most; beyond it new keys are refused.
+    std::uint32_t key_limit = 200'000;
+};
+
+// A keyed request that reached its presumed home.
+struct claim_request
+{
+    exchange_id exchange;
+    std::string service;
+    std::string key;
+};
+
+// The key is recorded and the request shall be executed, once.
+struct run_now
+{
+};
+// An execution of the same key is running: the exchange gets its answer.
+struct join_running
+{
+    exchange_id running;
+};
+// The key is finished: the exchange gets the recorded answer of this attempt.
+struct replay_answer
+{
+    attempt_id attempt;
+    hop_report report;
+};
+// The key is refused; the verdict says whether it may have run before.
+struct refuse_key
+{
+    verdict outcome = verdict::may_have_run;
+    refusal reason = refusal::key_history_unknown;
+    duration retry_after{};
+};
+// Another node is the home in the newest epoch known here.
+struct redirect_home
+{
+    std::string address;
+};
+// The decision comes later, by take_resolved.
+struct decide_later
+{
+};
+
+using claim = std::variant<run_now,
+                           join_running,
+                           replay_answer,
+                           refuse_key,
+                           redirect_home,
+                           decide_later>;
+
+struct resolved_claim
+{
+    exchange_id exchange;
+    claim decision;
+};
+
+// How the execution of a recorded key ended.
+struct key_outcome
+{
+    verdict outcome = verdict::may_have_run;
+    // The attempt whose answer is kept; zero if there is none.
+    attempt_id attempt;
+    hop_report report;
+};
+
+// State of the protocol at this node; owned by the node's state.
+struct state
+{
+    options own;
+};
+
+void start(state& once, step& current);
+
+// Decides what becomes of a keyed request. The request's bytes have been read
+// before `current.now` was.
+claim claim_key(state& once, claim_request const& request, step& current);
+
+// The execution that run_now allowed has ended. A key that was not run may be
+// claimed again; every other outcome is kept for the retry horizon. Exchanges
+// that joined are answered by the caller of this function.
+void finish_key(state& once,
+                exchange_id running,
+                key_outcome const& outcome,
+                step& current);
+
+// Claims that were put off and can be decided now.
+std::vector<resolved_claim> take_resolved(state& once, step& current);
+
+// The members of this node's own service have changed; `fleet` are nodes that
+// can vouch, of every service.
+void handle_members(state& once,
+                    std::string_view service,
+                    std::span<membership::member_record const> members,
+                    std::span<membership::member_record const> fleet,
+                    step& current);
+void handle_message(state& once,
+                    node_id const& sender,
+                    message const& received,
+                    step& current);
+void handle_store(state& once,
+                  store_call_id call,
+                  store_result const& result,
+                  step& current);
+void handle_time(state& once, step& current);
+std::optional<instant> next_deadline(state const& once);
+
+// True if nothing is left that this node has to answer for: its keys are
+// handed over or have passed their horizon; a planned stop waits for it.
+bool is_handed_over(state const& once);
+// Starts handing this node's keys over to the next epoch's homes.
+void hand_over(state& once, step& current);
+
+// The address of the home that a node which doesn't know the epoch presumes:
+// the member with the highest rendezvous weight for the key. Empty if there
+// are no members.
+std::string presumed_home(std::span<membership::member_record const> members,
+                          std::string_view key);
+
+} // namespace plantaintally::once
--- /dev/null
+++ b/tools/cmake/dependencies.cmake
@@ -0,0 +1,19 @@
+# Third-party libraries, each under one target name of ours.
+find_package(Threads REQUIRED)
+find_package(Boost 1.81 REQUIRED)
+find_package(Catch2 2 REQUIRED)
+find_package(nng CONFIG REQUIRED)
+find_package(prometheus-cpp CONFIG REQUIRED)
+find_package(rapidcheck CONFIG REQUIRED)
+
+add_library(plantaintally_options INTERFACE)
+target_compile_options(
+    plantaintally_options
+    INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor)
+target_compile_definitions(
+    plantaintally_options
+    INTERFACE BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_SEPARATE_COMPILATION
+              BOOST_BEAST_SEPARATE_COMPILATION SPDLOG_FMT_EXTERNAL
+              SPDLOG_COMPILED_LIB)
+target_include_directories(plantaintally_options
+                           INTERFACE "${CMAKE_SOURCE_DIR}/src")
