Keep the codec's macros free of reference parameters

Cause: clang-tidy takes the reference in the macro for a product. Change: structs without fields share one class template.

--- a/src/codec/internal/base_json.hpp
+++ b/src/codec/internal/base_json.hpp
@@ -351,6 +351,21 @@
     }
 };
 
+// A struct without fields: an empty object.
+template <class T>
+struct empty_codec
+{
+    static json write(T const&)
+    {
+        return json::object();
+    }
+
+    static void read(json const& source, T&)
+    {
+        require_object(source);
+    }
+};
+
 } // namespace plantaintally::codec
 
 #define PLANTAINTALLY_WRITE_FIELD(name)                                        \
@@ -386,19 +401,9 @@
 // The same for a struct without fields.
 #define PLANTAINTALLY_JSON_EMPTY(type, kind_name)                              \
     template <>                                                                \
-    struct value_codec<type>                                                   \
+    struct value_codec<type> : empty_codec<type>                               \
     {                                                                          \
         static constexpr std::string_view kind = kind_name;                    \
-                                                                               \
-        static json write([[maybe_unused]] type const& source)                 \
-        {                                                                      \
-            return json::object();                                             \
-        }                                                                      \
-                                                                               \
-        static void read(json const& source, [[maybe_unused]] type& target)    \
-        {                                                                      \
-            require_object(source);                                            \
-        }                                                                      \
     };
 
 // Declares the names of an enumeration's values, in order from zero on.
