Read and check the settings file

Cause: a node learns its addresses and limits from an INI file, and a wrong file must be told before anything starts. Conclusion: a fault is one line with file, line, key and what is allowed.

--- /dev/null
+++ b/src/settings/internal/endpoint.cpp
@@ -0,0 +1,59 @@
+#include "settings/settings.hpp"
+
+#include <arpa/inet.h>
+
+#include <array>
+#include <charconv>
+
+namespace plantaintally::settings
+{
+
+namespace
+{
+
+bool is_ip(int family, std::string const& host)
+{
+    std::array<unsigned char, sizeof(in6_addr)> address{};
+    return inet_pton(family, host.c_str(), address.data()) == 1;
+}
+
+} // namespace
+
+std::string to_string(endpoint const& address)
+{
+    bool const is_v6 = address.host.find(':') != std::string::npos;
+    auto const host = is_v6 ? "[" + address.host + "]" : address.host;
+    return host + ":" + std::to_string(address.port);
+}
+
+result<endpoint> parse_endpoint(std::string_view text)
+{
+    auto const colon = text.rfind(':');
+    if (colon == std::string_view::npos)
+    {
+        return fail(errc::invalid_input, "has no port");
+    }
+    auto host = text.substr(0, colon);
+    auto const digits = text.substr(colon + 1);
+    bool const is_bracketed =
+        host.size() > 2 && host.front() == '[' && host.back() == ']';
+    if (is_bracketed)
+    {
+        host = host.substr(1, host.size() - 2);
+    }
+    endpoint parsed{std::string(host), 0};
+    if (!is_ip(is_bracketed ? AF_INET6 : AF_INET, parsed.host))
+    {
+        return fail(errc::invalid_input, "its host is no IP address");
+    }
+    auto const* const end = digits.data() + digits.size();
+    auto const [stopped, problem] =
+        std::from_chars(digits.data(), end, parsed.port);
+    if (problem != std::errc() || stopped != end || parsed.port == 0)
+    {
+        return fail(errc::invalid_input, "its port is out of range");
+    }
+    return parsed;
+}
+
+} // namespace plantaintally::settings
--- /dev/null
+++ b/src/settings/internal/setting_rules.cpp
@@ -0,0 +1,412 @@
+#include "settings/internal/setting_rules.hpp"
+
+#include <array>
+#include <charconv>
+#include <cstdint>
+#include <limits>
+#include <utility>
+
+namespace plantaintally::settings
+{
+
+namespace
+{
+
+using assigner = std::function<std::string(node_settings&, std::string_view)>;
+
+constexpr std::uint64_t kibibyte = 1024;
+constexpr std::uint64_t mebibyte = 1024 * kibibyte;
+constexpr std::uint64_t gibibyte = 1024 * mebibyte;
+constexpr std::uint64_t hour_ms = 3'600'000;
+constexpr std::uint64_t connection_bound = 100'000;
+
+constexpr std::string_view address_allowed =
+    "IP:PORT with a port from 1 to 65535";
+
+// Range of a number, both ends included.
+struct range
+{
+    std::uint64_t low = 0;
+    std::uint64_t high = 0;
+};
+
+std::string range_text(range allowed, std::string_view unit)
+{
+    return "a whole number from " + std::to_string(allowed.low) + " to " +
+           std::to_string(allowed.high) + std::string(unit);
+}
+
+std::string read_number(std::string_view text, range allowed, std::uint64_t& to)
+{
+    auto const* const end = text.data() + text.size();
+    std::uint64_t value = 0;
+    auto const [stopped, problem] = std::from_chars(text.data(), end, value);
+    bool const is_too_large = problem == std::errc::result_out_of_range;
+    if (!is_too_large && (problem != std::errc() || stopped != end))
+    {
+        return "'" + std::string(text) + "' is no whole number";
+    }
+    if (is_too_large || value < allowed.low || value > allowed.high)
+    {
+        return std::string(text) + " is out of range";
+    }
+    to = value;
+    return {};
+}
+
+// A rule for a plain number; `at` finds its field.
+template <class Field>
+setting_rule
+number(std::string section, std::string key, range allowed, Field at)
+{
+    auto assign = [allowed, at](node_settings& target, std::string_view text)
+    {
+        std::uint64_t value = 0;
+        auto problem = read_number(text, allowed, value);
+        if (problem.empty())
+        {
+            auto& field = at(target);
+            field =
+                static_cast<std::remove_reference_t<decltype(field)>>(value);
+        }
+        return problem;
+    };
+    return {std::move(section),
+            std::move(key),
+            range_text(allowed, ""),
+            false,
+            assign};
+}
+
+// A rule for a span of time in milliseconds; its key ends in _ms.
+template <class Field>
+setting_rule time(std::string section, std::string key, range allowed, Field at)
+{
+    auto assign = [allowed, at](node_settings& target, std::string_view text)
+    {
+        std::uint64_t value = 0;
+        auto problem = read_number(text, allowed, value);
+        if (problem.empty())
+        {
+            at(target) = milliseconds(value);
+        }
+        return problem;
+    };
+    return {std::move(section),
+            std::move(key),
+            range_text(allowed, " (milliseconds)"),
+            false,
+            assign};
+}
+
+template <class Field>
+setting_rule address(std::string section,
+                     std::string key,
+                     std::string_view allowed,
+                     Field at)
+{
+    auto assign = [at](node_settings& target, std::string_view text)
+    {
+        auto parsed = parse_endpoint(text);
+        if (!parsed)
+        {
+            return "'" + std::string(text) + "': " + parsed.error().message;
+        }
+        at(target) = std::move(parsed.value());
+        return std::string();
+    };
+    return {
+        std::move(section), std::move(key), std::string(allowed), true, assign};
+}
+
+// A rule for one of several words; the word's index is the value.
+template <std::size_t N, class Set>
+setting_rule word(std::string section,
+                  std::string key,
+                  std::array<std::string_view, N> words,
+                  Set set)
+{
+    std::string allowed;
+    for (auto const& choice : words)
+    {
+        allowed += (allowed.empty() ? "" : ", ") + std::string(choice);
+    }
+    auto assign = [words, set](node_settings& target, std::string_view text)
+    {
+        for (std::size_t index = 0; index < N; ++index)
+        {
+            if (words.at(index) == text)
+            {
+                set(target, index);
+                return std::string();
+            }
+        }
+        return "unknown value '" + std::string(text) + "'";
+    };
+    return {std::move(section), std::move(key), allowed, false, assign};
+}
+
+template <class Field>
+setting_rule path(std::string section, std::string key, Field at)
+{
+    auto assign = [at](node_settings& target, std::string_view text)
+    {
+        at(target) = std::string(text);
+        return std::string();
+    };
+    return {std::move(section),
+            std::move(key),
+            "the name of a file, or nothing",
+            false,
+            assign};
+}
+
+bool is_name(std::string_view text)
+{
+    constexpr std::size_t longest = 64;
+    constexpr std::string_view letters =
+        "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.";
+    return !text.empty() && text.size() <= longest &&
+           text.find_first_not_of(letters) == std::string_view::npos;
+}
+
+std::string assign_zone(node_settings& target, std::string_view text)
+{
+    if (!is_name(text))
+    {
+        return "'" + std::string(text) + "' is no name";
+    }
+    target.node.availability_zone = std::string(text);
+    return {};
+}
+
+std::string assign_local(node_settings& target, std::string_view text)
+{
+    auto parsed = parse_endpoint(text);
+    if (!parsed)
+    {
+        return "'" + std::string(text) + "': " + parsed.error().message;
+    }
+    auto const& host = parsed.value().host;
+    if (!host.starts_with("127.") && host != "::1")
+    {
+        return "'" + std::string(text) + "' is not on loopback";
+    }
+    target.node.local_address = std::move(parsed.value());
+    return {};
+}
+
+std::string assign_peer(node_settings& target, std::string_view text)
+{
+    auto parsed = parse_endpoint(text);
+    if (!parsed)
+    {
+        return "'" + std::string(text) + "': " + parsed.error().message;
+    }
+    if (parsed.value().host == "0.0.0.0" || parsed.value().host == "::")
+    {
+        return "'" + std::string(text) + "' names no single node";
+    }
+    if (parsed.value().port == std::numeric_limits<std::uint16_t>::max())
+    {
+        return "no port is left for control messages";
+    }
+    target.node.peer_address = std::move(parsed.value());
+    return {};
+}
+
+std::string_view take_item(std::string_view& list)
+{
+    auto const comma = list.find(',');
+    auto item = list.substr(0, comma);
+    list.remove_prefix(comma == std::string_view::npos ? list.size()
+                                                       : comma + 1);
+    while (!item.empty() && item.front() == ' ')
+    {
+        item.remove_prefix(1);
+    }
+    while (!item.empty() && item.back() == ' ')
+    {
+        item.remove_suffix(1);
+    }
+    return item;
+}
+
+std::string assign_contacts(node_settings& target, std::string_view text)
+{
+    target.node.contacts.clear();
+    while (!text.empty())
+    {
+        auto const item = take_item(text);
+        auto const parsed = parse_endpoint(item);
+        if (!parsed)
+        {
+            return "'" + std::string(item) + "': " + parsed.error().message;
+        }
+        target.node.contacts.push_back(to_string(parsed.value()));
+    }
+    return {};
+}
+
+void add_node_rules(std::vector<setting_rule>& rules)
+{
+    rules.push_back({"node",
+                     "availability_zone",
+                     "1 to 64 letters, digits, '-', '_' or '.'",
+                     true,
+                     assign_zone});
+    rules.push_back({"node",
+                     "peer_address",
+                     "IP:PORT of this node alone, with a port from 1 to 65534",
+                     true,
+                     assign_peer});
+    rules.push_back(address("node",
+                            "caller_address",
+                            address_allowed,
+                            [](node_settings& target) -> endpoint&
+                            { return target.node.caller_address; }));
+    rules.push_back({"node",
+                     "local_address",
+                     "IP:PORT on loopback (127.0.0.0/8 or [::1])",
+                     true,
+                     assign_local});
+    rules.push_back({"node",
+                     "contacts",
+                     "IP:PORT, IP:PORT, ... or nothing",
+                     false,
+                     assign_contacts});
+    rules.push_back(number("node",
+                           "seed",
+                           {0, std::numeric_limits<std::uint64_t>::max()},
+                           [](node_settings& target) -> std::uint64_t&
+                           { return target.node.seed; }));
+    rules.push_back(time("node",
+                         "stop_limit_ms",
+                         {0, hour_ms},
+                         [](node_settings& target) -> milliseconds&
+                         { return target.node.stop_limit; }));
+}
+
+void add_platform_rules(std::vector<setting_rule>& rules)
+{
+    rules.push_back(address("platform",
+                            "address",
+                            address_allowed,
+                            [](node_settings& target) -> endpoint&
+                            { return target.platform.address; }));
+    rules.push_back(time("platform",
+                         "timeout_ms",
+                         {1, hour_ms},
+                         [](node_settings& target) -> milliseconds&
+                         { return target.platform.timeout; }));
+    rules.push_back(number("platform",
+                           "max_connections",
+                           {1, connection_bound},
+                           [](node_settings& target) -> std::uint32_t&
+                           { return target.platform.max_connections; }));
+}
+
+// A count or size of the [limits] section.
+template <class T>
+setting_rule limit(std::string key, range allowed, T limits_section::*field)
+{
+    return number("limits",
+                  std::move(key),
+                  allowed,
+                  [field](node_settings& target) -> T&
+                  { return target.limits.*field; });
+}
+
+setting_rule limit_time(std::string key, milliseconds limits_section::*field)
+{
+    return time("limits",
+                std::move(key),
+                {1, hour_ms},
+                [field](node_settings& target) -> milliseconds&
+                { return target.limits.*field; });
+}
+
+void add_limit_rules(std::vector<setting_rule>& rules)
+{
+    using section = limits_section;
+    constexpr range connections{1, connection_bound};
+    for (auto&& rule :
+         {limit("max_header_bytes",
+                {kibibyte, mebibyte},
+                &section::max_header_bytes),
+          limit("max_body_bytes", {0, gibibyte}, &section::max_body_bytes),
+          limit("max_answer_bytes", {1, gibibyte}, &section::max_answer_bytes),
+          limit("max_retained_bytes",
+                {mebibyte, 64 * gibibyte},
+                &section::max_retained_bytes),
+          limit("max_caller_connections",
+                connections,
+                &section::max_caller_connections),
+          limit("max_peer_connections",
+                connections,
+                &section::max_peer_connections),
+          limit("max_local_connections",
+                connections,
+                &section::max_local_connections),
+          limit("max_connections_per_peer",
+                connections,
+                &section::max_connections_per_peer),
+          limit("max_control_links", connections, &section::max_control_links),
+          limit_time("header_timeout_ms", &section::header_timeout),
+          limit_time("body_timeout_ms", &section::body_timeout),
+          limit_time("idle_timeout_ms", &section::idle_timeout),
+          limit_time("write_timeout_ms", &section::write_timeout),
+          limit_time("command_timeout_ms", &section::command_timeout)})
+    {
+        rules.push_back(rule);
+    }
+}
+
+void add_other_rules(std::vector<setting_rule>& rules)
+{
+    rules.push_back(word("log",
+                         "format",
+                         std::to_array<std::string_view>({"plain", "json"}),
+                         [](node_settings& target, std::size_t index) {
+                             target.log.format = static_cast<log_format>(index);
+                         }));
+    rules.push_back(word(
+        "log",
+        "level",
+        std::to_array<std::string_view>({"debug", "info", "warning", "error"}),
+        [](node_settings& target, std::size_t index)
+        { target.log.level = static_cast<log_level>(index); }));
+    rules.push_back(path("log",
+                         "file",
+                         [](node_settings& target) -> std::string&
+                         { return target.log.file; }));
+    rules.push_back(path("trace",
+                         "file",
+                         [](node_settings& target) -> std::string&
+                         { return target.trace.file; }));
+    rules.push_back(word("measure",
+                         "policies",
+                         std::to_array<std::string_view>({"on", "off"}),
+                         [](node_settings& target, std::size_t index)
+                         { target.measure.is_policy_enabled = index == 0; }));
+}
+
+std::vector<setting_rule> make_rules()
+{
+    std::vector<setting_rule> rules;
+    add_node_rules(rules);
+    add_platform_rules(rules);
+    add_limit_rules(rules);
+    add_other_rules(rules);
+    return rules;
+}
+
+} // namespace
+
+std::span<setting_rule const> setting_rules()
+{
+    static std::vector<setting_rule> const rules = make_rules();
+    return rules;
+}
+
+} // namespace plantaintally::settings
--- /dev/null
+++ b/src/settings/internal/settings.cpp
@@ -0,0 +1,277 @@
+#include "settings/settings.hpp"
+
+#include "settings/internal/ini_lines.hpp"
+#include "settings/internal/setting_rules.hpp"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <utility>
+
+namespace plantaintally::settings
+{
+
+namespace
+{
+
+// Longest settings file that is read, in bytes.
+constexpr std::size_t max_file_bytes = 1U << 20U;
+
+// Builds "file:line: subject: problem; allowed: ...".
+std::string message(std::string_view file_name,
+                    std::size_t line,
+                    std::string_view subject,
+                    std::string_view problem,
+                    std::string_view allowed)
+{
+    std::string text(file_name);
+    text += ":" + std::to_string(line) + ": ";
+    text += subject;
+    text += ": ";
+    text += problem;
+    text += "; allowed: ";
+    text += allowed;
+    return text;
+}
+
+std::string section_list()
+{
+    std::string list;
+    std::string_view last;
+    for (auto const& rule : setting_rules())
+    {
+        if (rule.section != last)
+        {
+            list += (list.empty() ? "" : ", ") + rule.section;
+        }
+        last = rule.section;
+    }
+    return list;
+}
+
+std::string key_list(std::string_view section)
+{
+    std::string list;
+    for (auto const& rule : setting_rules())
+    {
+        if (rule.section == section)
+        {
+            list += (list.empty() ? "" : ", ") + rule.key;
+        }
+    }
+    return list;
+}
+
+std::string qualified(std::string_view section, std::string_view key)
+{
+    return std::string(section) + "." + std::string(key);
+}
+
+setting_rule const* find_rule(ini_line const& line)
+{
+    auto const rules = setting_rules();
+    auto const found = std::find_if(rules.begin(),
+                                    rules.end(),
+                                    [&](setting_rule const& rule) {
+                                        return rule.section == line.section &&
+                                               rule.key == line.key;
+                                    });
+    return found == rules.end() ? nullptr : &*found;
+}
+
+// The first heading that is unknown or repeated, as a message.
+std::string check_headings(ini_file const& file, std::string_view file_name)
+{
+    std::set<std::string_view> seen;
+    for (auto const& heading : file.headings)
+    {
+        std::string problem;
+        if (key_list(heading.section).empty())
+        {
+            problem = "unknown section";
+        }
+        else if (!seen.insert(heading.section).second)
+        {
+            problem = "section stands twice";
+        }
+        if (!problem.empty())
+        {
+            return message(file_name,
+                           heading.number,
+                           heading.section,
+                           problem,
+                           section_list() + ", each once");
+        }
+    }
+    return {};
+}
+
+// Takes one line over into the settings; gives the message of its fault.
+std::string assign_line(node_settings& target,
+                        ini_line const& line,
+                        std::set<std::string>& seen,
+                        std::string_view file_name)
+{
+    auto const name = qualified(line.section, line.key);
+    auto const* const rule = find_rule(line);
+    if (rule == nullptr)
+    {
+        return message(file_name,
+                       line.number,
+                       name,
+                       "unknown key",
+                       key_list(line.section));
+    }
+    if (!seen.insert(name).second)
+    {
+        return message(
+            file_name, line.number, name, "key stands twice", rule->allowed);
+    }
+    auto const problem = rule->assign(target, line.value);
+    if (!problem.empty())
+    {
+        return message(file_name, line.number, name, problem, rule->allowed);
+    }
+    return {};
+}
+
+std::size_t heading_line(ini_file const& file, std::string_view section)
+{
+    for (auto const& heading : file.headings)
+    {
+        if (heading.section == section)
+        {
+            return heading.number;
+        }
+    }
+    return 0;
+}
+
+// The first required key that is missing, as a message. Line 1 stands for a
+// section that is missing altogether.
+std::string check_required(ini_file const& file,
+                           std::set<std::string> const& seen,
+                           std::string_view file_name)
+{
+    for (auto const& rule : setting_rules())
+    {
+        auto const name = qualified(rule.section, rule.key);
+        if (!rule.is_required || seen.contains(name))
+        {
+            continue;
+        }
+        auto const line = heading_line(file, rule.section);
+        auto const problem = line == 0
+                                 ? "missing section [" + rule.section + "]"
+                                 : std::string("missing key");
+        return message(file_name,
+                       std::max<std::size_t>(line, 1),
+                       name,
+                       problem,
+                       rule.allowed);
+    }
+    return {};
+}
+
+// Two listeners on one port, as a message.
+std::string check_ports(ini_file const& file,
+                        node_settings const& target,
+                        std::string_view file_name)
+{
+    auto const& node = target.node;
+    auto const control_port =
+        static_cast<std::uint16_t>(node.peer_address.port + 1);
+    std::array const used{
+        std::pair{std::string_view("peer_address"), node.peer_address.port},
+        std::pair{std::string_view("peer_address"), control_port},
+        std::pair{std::string_view("caller_address"), node.caller_address.port},
+        std::pair{std::string_view("local_address"), node.local_address.port}};
+    for (std::size_t later = 1; later < used.size(); ++later)
+    {
+        for (std::size_t earlier = 0; earlier < later; ++earlier)
+        {
+            if (used.at(earlier).second != used.at(later).second)
+            {
+                continue;
+            }
+            return message(file_name,
+                           heading_line(file, "node"),
+                           qualified("node", used.at(later).first),
+                           "port " + std::to_string(used.at(later).second) +
+                               " is taken by " +
+                               std::string(used.at(earlier).first),
+                           "a port of its own; peer_address also takes the "
+                           "next one, for control messages");
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+result<node_settings> parse_settings(std::string_view text,
+                                     std::string_view file_name)
+{
+    auto const scanned = scan_ini(text, file_name);
+    if (!scanned)
+    {
+        return scanned.error();
+    }
+    ini_file const& file = scanned.value();
+    node_settings target;
+    std::set<std::string> seen;
+    auto problem = check_headings(file, file_name);
+    for (auto const& line : file.lines)
+    {
+        if (problem.empty())
+        {
+            problem = assign_line(target, line, seen, file_name);
+        }
+    }
+    if (problem.empty())
+    {
+        problem = check_required(file, seen, file_name);
+    }
+    if (problem.empty())
+    {
+        problem = check_ports(file, target, file_name);
+    }
+    if (!problem.empty())
+    {
+        return fail(errc::invalid_input, problem);
+    }
+    return target;
+}
+
+result<node_settings> load_settings(std::string const& file_name)
+{
+    std::ifstream input(file_name, std::ios::binary);
+    if (!input)
+    {
+        return fail(errc::not_found,
+                    file_name + ":1: settings: the file can't be read; "
+                                "allowed: a readable INI file");
+    }
+    std::string text(std::istreambuf_iterator<char>(input), {});
+    if (text.size() > max_file_bytes)
+    {
+        return fail(errc::too_large,
+                    file_name + ":1: settings: the file is too large; "
+                                "allowed: up to 1 MiB");
+    }
+    return parse_settings(text, file_name);
+}
+
+std::vector<std::string> known_keys()
+{
+    std::vector<std::string> names;
+    for (auto const& rule : setting_rules())
+    {
+        names.push_back(qualified(rule.section, rule.key));
+    }
+    return names;
+}
+
+} // namespace plantaintally::settings
