--- a/src/codec/internal/bounded_json.cpp
+++ b/src/codec/internal/bounded_json.cpp
@@ -1,4 +1,4 @@
-#include "codec/internal/bounded_json.hpp"
+#include "codec/bounded_json.hpp"
 
 #include <iterator>
 #include <string>
--- a/src/codec/internal/control_codec.cpp
+++ b/src/codec/internal/control_codec.cpp
@@ -1,6 +1,6 @@
 #include "codec/control_codec.hpp"
 
-#include "codec/internal/bounded_json.hpp"
+#include "codec/bounded_json.hpp"
 #include "codec/internal/control_json.hpp"
 #include "codec/internal/decode.hpp"
 
--- a/src/codec/internal/document_codec.cpp
+++ b/src/codec/internal/document_codec.cpp
@@ -1,6 +1,6 @@
 #include "codec/document_codec.hpp"
 
-#include "codec/internal/bounded_json.hpp"
+#include "codec/bounded_json.hpp"
 #include "codec/internal/configuration_json.hpp"
 #include "codec/internal/decode.hpp"
 
--- a/src/codec/internal/trace_codec.cpp
+++ b/src/codec/internal/trace_codec.cpp
@@ -1,6 +1,6 @@
 #include "codec/trace_codec.hpp"
 
-#include "codec/internal/bounded_json.hpp"
+#include "codec/bounded_json.hpp"
 #include "codec/internal/decode.hpp"
 #include "codec/internal/event_json.hpp"
 
--- /dev/null
+++ b/src/logging/internal/format_record.cpp
@@ -0,0 +1,104 @@
+#include "logging/logging.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace plantaintally::logging
+{
+
+namespace
+{
+
+std::string_view level_name(level severity)
+{
+    constexpr std::array<std::string_view, 4> names{
+        "debug", "info", "warning", "error"};
+    return names.at(static_cast<std::size_t>(severity));
+}
+
+// Control characters are shown as "?", so that a record stays one line.
+void append_printable(std::string& line, std::string_view text)
+{
+    constexpr unsigned char first_printable = 0x20;
+    constexpr unsigned char del = 0x7f;
+    for (char const letter : text)
+    {
+        auto const code = static_cast<unsigned char>(letter);
+        line += code < first_printable || code == del ? '?' : letter;
+    }
+}
+
+std::string
+format_plain(record const& line, std::string_view node, std::string_view time)
+{
+    std::string text;
+    for (auto const part :
+         {time, level_name(line.severity), node, line.subject, line.kind})
+    {
+        text += text.empty() ? "" : " ";
+        append_printable(text, part);
+    }
+    for (auto const& [name, value] : line.details)
+    {
+        text += " ";
+        append_printable(text, name);
+        text += "=";
+        append_printable(text, value);
+    }
+    return text;
+}
+
+std::string
+format_json(record const& line, std::string_view node, std::string_view time)
+{
+    nlohmann::ordered_json object{{"time", time},
+                                  {"level", level_name(line.severity)},
+                                  {"node", node},
+                                  {"subject", line.subject},
+                                  {"kind", line.kind}};
+    for (auto const& [name, value] : line.details)
+    {
+        object[object.contains(name) ? name + "_" : name] = value;
+    }
+    constexpr int one_line = -1;
+    return object.dump(
+        one_line, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+} // namespace
+
+std::string format_record(record const& line,
+                          format form,
+                          std::string_view node,
+                          std::string_view time)
+{
+    return form == format::json ? format_json(line, node, time)
+                                : format_plain(line, node, time);
+}
+
+fields split_detail(std::string_view detail)
+{
+    fields parts;
+    while (!detail.empty())
+    {
+        auto const end = detail.find(' ');
+        auto const word = detail.substr(0, end);
+        detail.remove_prefix(end == std::string_view::npos ? detail.size()
+                                                           : end + 1);
+        auto const equals = word.find('=');
+        if (word.empty())
+        {
+            continue;
+        }
+        if (equals == std::string_view::npos)
+        {
+            parts.emplace_back("note", word);
+            continue;
+        }
+        parts.emplace_back(word.substr(0, equals), word.substr(equals + 1));
+    }
+    return parts;
+}
+
+} // namespace plantaintally::logging
--- /dev/null
+++ b/src/logging/tests/logging_test.cpp
@@ -0,0 +1,44 @@
+#include "logging/logging.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plantaintally;
+
+TEST_CASE("a plain record is one line whatever its values hold")
+{
+    logging::record const line{logging::level::warning,
+                               "drivers",
+                               "request-malformed",
+                               {{"reason", "bad\nvalue"}, {"count", "2"}}};
+    CHECK(logging::format_record(
+              line, logging::format::plain, "10.0.0.1:7000", "T") ==
+          "T warning 10.0.0.1:7000 drivers request-malformed "
+          "reason=bad?value count=2");
+}
+
+TEST_CASE("a JSON record is one object whatever its values hold")
+{
+    logging::record const line{logging::level::info,
+                               "once",
+                               "epoch-activated",
+                               {{"kind", "x"}, {"bytes", "a\n\xff"}}};
+    CHECK(logging::format_record(line, logging::format::json, "n", "T") ==
+          R"({"time":"T","level":"info","node":"n","subject":"once",)"
+          R"("kind":"epoch-activated","kind_":"x",)"
+          "\"bytes\":\"a\\n\xEF\xBF\xBD\"}");
+}
+
+TEST_CASE("the detail of a time line entry becomes fields")
+{
+    CHECK(logging::split_detail("rank=booking  slow limit=a=b") ==
+          logging::fields{
+              {"rank", "booking"}, {"note", "slow"}, {"limit", "a=b"}});
+    CHECK(logging::split_detail("").empty());
+}
+
+TEST_CASE("a log file that can't be opened is told")
+{
+    logging::options wanted;
+    wanted.file = "/dev/null/no.log";
+    CHECK(logging::start(wanted).has_error());
+}
