Drive the reducer: listeners, clients, control link, store and timer

Cause: the reducer does no I/O; requests, answers, messages, calls and time reach it as events. Change: one io_context thread runs the reducer and every driver. Trust follows the listener; every input is bounded; a call is written once, on one connection, and its answer is passed on only if it was read whole.

--- /dev/null
+++ b/src/drivers/internal/answer_headers.cpp
@@ -0,0 +1,57 @@
+#include "drivers/internal/answer_headers.hpp"
+
+#include <iterator>
+#include <utility>
+
+namespace plantaintally::drivers
+{
+
+std::vector<header_field> common_headers(answer_recipient const& recipient,
+                                         hop_report const& report)
+{
+    std::vector<header_field> headers{
+        {"X-Request-Id", recipient.trace_id},
+        {"Plantaintally-Verdict", std::string(to_string(report.outcome))},
+        {"Plantaintally-Attempts", std::to_string(report.attempts)}};
+    if (recipient.source == request_source::peer)
+    {
+        auto fields = codec::encode_hop_report(report);
+        headers.insert(headers.end(),
+                       std::make_move_iterator(fields.begin()),
+                       std::make_move_iterator(fields.end()));
+    }
+    return headers;
+}
+
+std::vector<header_field> refusal_headers(answer_recipient const& recipient,
+                                          refused_answer const& refused)
+{
+    constexpr std::uint32_t service_unavailable = 503;
+    auto headers = common_headers(recipient, refused.report);
+    headers.push_back({"Content-Type", std::string(problem_media_type)});
+    if (refused.status == service_unavailable)
+    {
+        headers.push_back(
+            {"Retry-After", retry_after_seconds(refused.report.retry_after)});
+    }
+    return headers;
+}
+
+problem to_problem(refused_answer const& refused)
+{
+    return {refused.status,
+            refused.detail,
+            refused.report.reason.value_or(refusal::overload),
+            refused.report.outcome};
+}
+
+refused_answer
+refuse_input(std::uint32_t status, refusal reason, std::string detail)
+{
+    refused_answer refused{status, std::move(detail), {}};
+    refused.report.outcome = verdict::not_run;
+    refused.report.reason = reason;
+    return refused;
+}
+
+} // namespace plantaintally::drivers
--- /dev/null
+++ b/src/drivers/internal/asio_implementation.cpp
@@ -0,0 +1,3 @@
+// The one translation unit that compiles the bodies of Asio and Beast.
+#include <boost/asio/impl/src.hpp>
+#include <boost/beast/src.hpp>
--- /dev/null
+++ b/src/drivers/internal/attempts.cpp
@@ -0,0 +1,232 @@
+#include "drivers/internal/attempts.hpp"
+
+#include "codec/hop_headers.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <optional>
+#include <utility>
+
+namespace plantaintally::drivers
+{
+
+namespace
+{
+
+constexpr std::uint32_t service_unavailable = 503;
+
+std::string to_milliseconds(duration time)
+{
+    auto const count =
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    return std::to_string(std::max<std::int64_t>(count, 0));
+}
+
+outgoing_request make_request(request_head const& head, exchange const& from)
+{
+    outgoing_request request{head.method, head.target, {}, from.body};
+    request.headers.reserve(from.passed_headers.size() + 16);
+    request.headers.push_back({"Host", head.service});
+    request.headers.push_back({"X-Request-Id", head.trace_id});
+    if (!head.idempotency_key.empty())
+    {
+        request.headers.push_back({"Idempotency-Key", head.idempotency_key});
+    }
+    request.headers.insert(request.headers.end(),
+                           from.passed_headers.begin(),
+                           from.passed_headers.end());
+    return request;
+}
+
+void add_time_left(outgoing_request& request, duration time_left)
+{
+    request.headers.push_back(
+        {"Plantaintally-Deadline-Ms", to_milliseconds(time_left)});
+}
+
+bool is_refusal_of_upstream(answer const& whole)
+{
+    return whole.status == service_unavailable &&
+           find_header(whole.headers, "Plantaintally-Verdict") ==
+               to_string(verdict::not_run);
+}
+
+std::uint64_t size_of(answer const& whole)
+{
+    std::uint64_t bytes = whole.body.size();
+    for (auto const& header : whole.headers)
+    {
+        bytes += header.name.size() + header.value.size();
+    }
+    return bytes;
+}
+
+bool has_report(answer const& whole)
+{
+    return std::any_of(
+        whole.headers.begin(),
+        whole.headers.end(),
+        [](header_field const& header)
+        { return codec::has_prefix(header.name, codec::report_prefix); });
+}
+
+} // namespace
+
+attempts::attempts(services wanted) : chosen(std::move(wanted)) {}
+
+void attempts::forward(forward_request const& wanted)
+{
+    auto const* const from = this->chosen.exchanges.find(wanted.exchange);
+    if (from == nullptr)
+    {
+        this->fail(wanted.attempt, {attempt_failure::cancelled, false});
+        return;
+    }
+    auto request = make_request(wanted.head, *from);
+    if (wanted.head.time_left)
+    {
+        add_time_left(request, *wanted.head.time_left);
+    }
+    request.headers.push_back({"Plantaintally-Caller", wanted.head.caller});
+    auto hop = codec::encode_hop_context(wanted.hop);
+    request.headers.insert(request.headers.end(),
+                           std::make_move_iterator(hop.begin()),
+                           std::make_move_iterator(hop.end()));
+    this->running.try_emplace(wanted.attempt);
+    this->chosen.tasks.spawn(this->run(wanted.attempt,
+                                       this->chosen.peers,
+                                       wanted.peer_address,
+                                       std::move(request),
+                                       wanted.timeout));
+}
+
+void attempts::dispatch(dispatch_request const& wanted)
+{
+    auto const* const from = this->chosen.exchanges.find(wanted.exchange);
+    if (from == nullptr)
+    {
+        this->fail(wanted.attempt, {attempt_failure::cancelled, false});
+        return;
+    }
+    auto head = from->head;
+    head.trace_id = wanted.trace_id;
+    auto request = make_request(head, *from);
+    add_time_left(request, wanted.time_left);
+    this->running.try_emplace(wanted.attempt);
+    this->chosen.tasks.spawn(this->run(wanted.attempt,
+                                       this->chosen.upstream,
+                                       wanted.upstream_address,
+                                       std::move(request),
+                                       wanted.timeout));
+}
+
+void attempts::cancel(attempt_id id)
+{
+    auto const found = this->running.find(id);
+    if (found != this->running.end())
+    {
+        found->second.cancel();
+    }
+}
+
+void attempts::release(attempt_id id)
+{
+    auto const found = this->answers.find(id);
+    if (found == this->answers.end())
+    {
+        return;
+    }
+    this->retained_bytes -= size_of(*found->second);
+    this->answers.erase(found);
+    this->note_retained();
+}
+
+answer_ptr attempts::find_answer(attempt_id id) const
+{
+    auto const found = this->answers.find(id);
+    return found == this->answers.end() ? nullptr : found->second;
+}
+
+std::size_t attempts::running_count() const
+{
+    return this->running.size();
+}
+
+asio::awaitable<void> attempts::run(attempt_id id,
+                                    http_client& client,
+                                    std::string address,
+                                    outgoing_request request,
+                                    duration timeout)
+{
+    bool const is_peer = &client == &this->chosen.peers;
+    auto& control = this->running.at(id);
+    auto ended = co_await client.call(
+        std::move(address), std::move(request), timeout, control);
+    this->running.erase(id);
+    if (auto const* const failure = std::get_if<call_failure>(&ended))
+    {
+        this->fail(id, *failure);
+        co_return;
+    }
+    this->finish(id, is_peer, std::move(std::get<answer>(ended)));
+}
+
+void attempts::finish(attempt_id id, bool is_peer, answer whole)
+{
+    attempt_answered answered{id, whole.status, std::nullopt, false};
+    if (is_peer)
+    {
+        auto report = codec::decode_hop_report(whole.headers);
+        if (!report || !has_report(whole))
+        {
+            this->chosen.figures.add({"malformed_reports_total"});
+            this->fail(id, {attempt_failure::malformed_answer, true});
+            return;
+        }
+        answered.report = std::move(report.value());
+    }
+    else
+    {
+        answered.is_upstream_refusal = is_refusal_of_upstream(whole);
+    }
+    if (!this->retain(id, std::move(whole)))
+    {
+        this->chosen.figures.add({"answers_not_retained_total"});
+        this->fail(id, {attempt_failure::incomplete_answer, true});
+        return;
+    }
+    this->chosen.hand_in(std::move(answered));
+}
+
+void attempts::fail(attempt_id id, call_failure failure)
+{
+    this->chosen.hand_in(
+        attempt_failed{id, failure.failure, failure.is_written});
+}
+
+bool attempts::retain(attempt_id id, answer whole)
+{
+    auto const bytes = size_of(whole);
+    if (this->retained_bytes + bytes > this->chosen.max_retained_bytes)
+    {
+        return false;
+    }
+    this->retained_bytes += bytes;
+    whole.headers = passed_answer_headers(whole.headers);
+    auto const kept = std::make_shared<answer const>(std::move(whole));
+    // Counted as it is kept, so that release() gives back the same.
+    this->retained_bytes -= bytes - size_of(*kept);
+    this->answers.insert_or_assign(id, kept);
+    this->note_retained();
+    return true;
+}
+
+void attempts::note_retained()
+{
+    this->chosen.figures.set({"retained_answer_bytes"},
+                             static_cast<double>(this->retained_bytes));
+    this->chosen.figures.set({"retained_answers"},
+                             static_cast<double>(this->answers.size()));
+}
+
+} // namespace plantaintally::drivers
--- /dev/null
+++ b/src/drivers/internal/counters.cpp
@@ -0,0 +1,103 @@
+#include "drivers/internal/counters.hpp"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <string>
+
+namespace plantaintally::drivers
+{
+
+namespace
+{
+
+node::statistic
+to_statistic(figure_name const& name, node::statistic_kind kind, double value)
+{
+    node::statistic figure{std::string(name.name), kind, {}, value};
+    if (!name.label.empty())
+    {
+        figure.labels.emplace_back(name.label, name.value);
+    }
+    if (!name.second_label.empty())
+    {
+        figure.labels.emplace_back(name.second_label, name.second_value);
+    }
+    return figure;
+}
+
+double seconds(timeval const& time)
+{
+    constexpr double microseconds_per_second = 1e6;
+    return static_cast<double>(time.tv_sec) +
+           static_cast<double>(time.tv_usec) / microseconds_per_second;
+}
+
+double resident_bytes()
+{
+    std::ifstream pages("/proc/self/statm");
+    double total = 0;
+    double resident = 0;
+    pages >> total >> resident;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+void counters::add(figure_name const& name, double amount)
+{
+    this->totals[name] += amount;
+}
+
+void counters::set(figure_name const& name, double value)
+{
+    this->gauges[name] = value;
+}
+
+void counters::step(figure_name const& name, double amount)
+{
+    this->gauges[name] += amount;
+}
+
+double counters::value_of(figure_name const& name) const
+{
+    if (auto const total = this->totals.find(name); total != this->totals.end())
+    {
+        return total->second;
+    }
+    auto const gauge = this->gauges.find(name);
+    return gauge == this->gauges.end() ? 0 : gauge->second;
+}
+
+std::vector<node::statistic> counters::collect() const
+{
+    std::vector<node::statistic> figures;
+    for (auto const& [name, value] : this->totals)
+    {
+        figures.push_back(
+            to_statistic(name, node::statistic_kind::counter, value));
+    }
+    for (auto const& [name, value] : this->gauges)
+    {
+        figures.push_back(
+            to_statistic(name, node::statistic_kind::gauge, value));
+    }
+    return figures;
+}
+
+std::vector<node::statistic> collect_process_figures()
+{
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    return {{"process_cpu_seconds_total",
+             node::statistic_kind::counter,
+             {},
+             seconds(usage.ru_utime) + seconds(usage.ru_stime)},
+            {"process_resident_bytes",
+             node::statistic_kind::gauge,
+             {},
+             resident_bytes()}};
+}
+
+} // namespace plantaintally::drivers
--- /dev/null
+++ b/src/drivers/internal/engine.cpp
@@ -0,0 +1,509 @@
+#include "drivers/internal/engine.hpp"
+
+#include "base/hash.hpp"
+#include "logging/logging.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <fmt/format.h>
+
+#include <array>
+#include <utility>
+
+namespace plantaintally::drivers
+{
+
+namespace
+{
+
+constexpr duration house_interval = std::chrono::seconds(1);
+constexpr duration connect_timeout = std::chrono::seconds(1);
+// Room in a client's buffer for the part of an answer read with its headers.
+constexpr std::size_t answer_buffer_bytes = 64U << 10U;
+
+asio::awaitable<void> serve_session(tcp::socket accepted,
+                                    session_services& services)
+{
+    session served(std::move(accepted), services);
+    co_await served.serve();
+}
+
+asio::awaitable<void> refuse_session(tcp::socket accepted,
+                                     session_services& services)
+{
+    session refused(std::move(accepted), services);
+    co_await refused.refuse_connection();
+}
+
+// The kind of an event, for metrics.
+struct event_namer
+{
+    std::string_view operator()(request_arrived const&) const
+    {
+        return "request-arrived";
+    }
+    std::string_view operator()(caller_gone const&) const
+    {
+        return "caller-gone";
+    }
+    std::string_view operator()(attempt_answered const&) const
+    {
+        return "attempt-answered";
+    }
+    std::string_view operator()(attempt_failed const&) const
+    {
+        return "attempt-failed";
+    }
+    std::string_view operator()(upstream_announced const&) const
+    {
+        return "upstream-announced";
+    }
+    std::string_view operator()(upstream_drain_requested const&) const
+    {
+        return "upstream-drain-requested";
+    }
+    std::string_view operator()(upstream_gone const&) const
+    {
+        return "upstream-gone";
+    }
+    std::string_view operator()(health_hint const&) const
+    {
+        return "health-hint";
+    }
+    std::string_view operator()(control_received const&) const
+    {
+        return "control-received";
+    }
+    std::string_view operator()(store_replied const&) const
+    {
+        return "store-replied";
+    }
+    std::string_view operator()(operator_command const&) const
+    {
+        return "operator-command";
+    }
+    std::string_view operator()(timer_fired const&) const
+    {
+        return "timer-fired";
+    }
+    std::string_view operator()(stop_requested const&) const
+    {
+        return "stop-requested";
+    }
+};
+
+} // namespace
+
+engine::engine(asio::any_io_executor const& executor,
+               settings::node_settings const& wanted,
+               node_id own,
+               decisions decided)
+    : chosen(wanted), self(std::move(own)), decide(std::move(decided)),
+      tasks(executor), exchanges(executor),
+      peer_pool(
+          this->tasks,
+          this->figures,
+          this->pool_options("peer", wanted.limits.max_connections_per_peer)),
+      upstream_pool(
+          this->tasks, this->figures, this->pool_options("upstream", 1)),
+      platform_pool(
+          this->tasks,
+          this->figures,
+          this->pool_options("platform", wanted.platform.max_connections)),
+      peer_client(this->peer_pool, this->client_limits()),
+      upstream_client(this->upstream_pool, this->client_limits()),
+      store_http(this->platform_pool, this->client_limits()),
+      attempted({this->tasks,
+                 this->figures,
+                 this->exchanges,
+                 this->peer_client,
+                 this->upstream_client,
+                 this->event_sink(),
+                 wanted.limits.max_retained_bytes}),
+      platform({this->tasks,
+                this->figures,
+                this->store_http,
+                this->event_sink(),
+                settings::to_string(wanted.platform.address),
+                wanted.platform.timeout}),
+      probe({this->tasks, this->upstream_client, this->event_sink()}),
+      control(this->tasks,
+              this->figures,
+              {wanted.node.peer_address, wanted.limits.max_control_links},
+              [this](control_envelope envelope)
+              { this->hand_in(control_received{std::move(envelope)}); }),
+      local({this->tasks,
+             this->figures,
+             this->event_sink(),
+             [this] { return this->collect(); },
+             wanted.limits.command_timeout}),
+      timer(this->tasks, [this] { this->hand_in(timer_fired{}); }),
+      caller_sessions(this->make_sessions(request_source::caller, "caller")),
+      peer_sessions(this->make_sessions(request_source::peer, "peer")),
+      local_sessions(this->make_sessions(request_source::local, "local")),
+      caller_listener(this->make_listener("caller",
+                                          wanted.node.caller_address,
+                                          wanted.limits.max_caller_connections,
+                                          this->caller_sessions)),
+      peer_listener(this->make_listener("peer",
+                                        wanted.node.peer_address,
+                                        wanted.limits.max_peer_connections,
+                                        this->peer_sessions)),
+      local_listener(this->make_listener("local",
+                                         wanted.node.local_address,
+                                         wanted.limits.max_local_connections,
+                                         this->local_sessions))
+{
+    this->local_sessions.answer_locally =
+        [this](incoming_request const& request)
+    {
+        return this->local.answer(request);
+    };
+}
+
+result<void> engine::open()
+{
+    this->tasks.keep(this->weak_from_this());
+    auto opened = this->recorder.open(this->chosen.trace.file);
+    for (auto* const each :
+         {&this->caller_listener, &this->peer_listener, &this->local_listener})
+    {
+        if (opened)
+        {
+            opened = each->open();
+        }
+    }
+    return opened ? this->control.open() : opened;
+}
+
+void engine::start()
+{
+    this->caller_listener.start();
+    this->peer_listener.start();
+    this->local_listener.start();
+    this->tasks.spawn(this->keep_house());
+    this->hand_in(timer_fired{});
+}
+
+void engine::request_stop()
+{
+    if (std::exchange(this->is_stop_requested, true))
+    {
+        return;
+    }
+    logging::write({logging::level::info, "drivers", "stop-requested", {}});
+    this->set_stopping();
+    this->hand_in(stop_requested{});
+}
+
+bool engine::is_finished() const
+{
+    if (!this->is_ending)
+    {
+        return false;
+    }
+    auto const waited = std::chrono::steady_clock::now() - this->ending_since;
+    return this->busy_sessions() == 0 ||
+           waited > this->chosen.limits.write_timeout;
+}
+
+void engine::close()
+{
+    this->control.close();
+    this->timer.cancel();
+    this->recorder.flush();
+    this->caller_listener.close();
+    this->peer_listener.close();
+    this->local_listener.close();
+}
+
+void engine::hand_in(event happened)
+{
+    this->queued.push_back(std::move(happened));
+    if (this->is_reducing)
+    {
+        return;
+    }
+    this->is_reducing = true;
+    while (!this->queued.empty())
+    {
+        auto const next = std::move(this->queued.front());
+        this->queued.pop_front();
+        this->reduce_one(next);
+    }
+    this->is_reducing = false;
+}
+
+void engine::reduce_one(event const& happened)
+{
+    auto const now = read_moment();
+    this->recorder.record(now, happened);
+    this->figures.add(
+        {"events_total", "kind", std::visit(event_namer{}, happened), {}, {}});
+    for (auto const& asked : this->decide_on(happened, now))
+    {
+        std::visit([this](auto const& each) { this->carry_out(each); }, asked);
+    }
+}
+
+effects engine::decide_on(event const& happened, moment const& now)
+{
+    try
+    {
+        return this->decide.reduce(happened, now);
+    }
+    catch (std::exception const& cause)
+    {
+        this->figures.add({"reducer_failures_total"});
+        logging::write(
+            {logging::level::error,
+             "drivers",
+             "reducer-failed",
+             {{"event", std::string(std::visit(event_namer{}, happened))},
+              {"cause", cause.what()}}});
+        return {};
+    }
+}
+
+void engine::carry_out(forward_request const& wanted)
+{
+    this->attempted.forward(wanted);
+}
+
+void engine::carry_out(dispatch_request const& wanted)
+{
+    this->attempted.dispatch(wanted);
+}
+
+void engine::carry_out(cancel_attempt const& wanted)
+{
+    this->attempted.cancel(wanted.attempt);
+}
+
+void engine::carry_out(answer_from_attempt const& wanted)
+{
+    auto content = this->attempted.find_answer(wanted.attempt);
+    if (content != nullptr)
+    {
+        this->exchanges.reply(wanted.exchange,
+                              passed_answer{std::move(content), wanted.report});
+        return;
+    }
+    constexpr std::uint32_t gateway_timeout = 504;
+    this->figures.add({"answers_missing_total"});
+    auto report = wanted.report;
+    report.outcome = verdict::may_have_run;
+    report.reason = refusal::incomplete_answer;
+    this->exchanges.reply(wanted.exchange,
+                          refused_answer{gateway_timeout,
+                                         "the answer is no longer kept",
+                                         report});
+}
+
+void engine::carry_out(refuse_request const& wanted)
+{
+    this->exchanges.reply(
+        wanted.exchange,
+        refused_answer{wanted.status, wanted.detail, wanted.report});
+}
+
+void engine::carry_out(release_attempt const& wanted)
+{
+    this->attempted.release(wanted.attempt);
+}
+
+void engine::carry_out(send_control const& wanted)
+{
+    this->control.send(wanted.address,
+                       {this->self, this->decide.read_clock(), wanted.message});
+}
+
+void engine::carry_out(call_store const& wanted)
+{
+    this->platform.call(wanted);
+}
+
+void engine::carry_out(answer_operator const& wanted)
+{
+    this->local.answer_command(wanted);
+}
+
+void engine::carry_out(wake_at const& wanted)
+{
+    this->timer.set(wanted.when);
+}
+
+void engine::carry_out(drain_upstream const&)
+{
+    if (auto const& announced = this->local.announcement())
+    {
+        this->probe.drain(announced->address);
+    }
+}
+
+void engine::carry_out(warm_connections const& wanted)
+{
+    this->upstream_pool.warm(
+        wanted.upstream_address, wanted.count, wanted.limit);
+}
+
+void engine::carry_out(record_entry const& wanted)
+{
+    logging::write_entry(wanted.entry);
+    this->local.record(wanted.entry);
+}
+
+void engine::carry_out(exit_process const&)
+{
+    this->begin_ending();
+}
+
+std::function<void(event)> engine::event_sink()
+{
+    return [this](event happened)
+    {
+        this->hand_in(std::move(happened));
+    };
+}
+
+connection_pool::options engine::pool_options(std::string_view name,
+                                              std::uint32_t limit) const
+{
+    return {name,
+            limit,
+            this->chosen.limits.max_header_bytes + answer_buffer_bytes,
+            this->chosen.limits.idle_timeout,
+            connect_timeout};
+}
+
+http_client::limits engine::client_limits() const
+{
+    return {this->chosen.limits.max_header_bytes,
+            this->chosen.limits.max_answer_bytes};
+}
+
+session_services engine::make_sessions(request_source source,
+                                       std::string_view name)
+{
+    auto const& limits = this->chosen.limits;
+    return {this->figures,
+            this->exchanges,
+            this->event_sink(),
+            {limits.max_header_bytes,
+             limits.max_body_bytes,
+             limits.idle_timeout,
+             limits.header_timeout,
+             limits.body_timeout},
+            limits.write_timeout,
+            source,
+            name,
+            [this] { return this->make_trace_id(); },
+            [this]
+            {
+                auto const& announced = this->local.announcement();
+                return announced ? announced->service : std::string();
+            },
+            nullptr,
+            false,
+            {}};
+}
+
+listener engine::make_listener(std::string_view name,
+                               settings::endpoint const& address,
+                               std::uint32_t limit,
+                               session_services& services)
+{
+    return {this->tasks,
+            this->figures,
+            {name, address, limit},
+            [&services](tcp::socket accepted)
+            { return serve_session(std::move(accepted), services); },
+            [&services](tcp::socket accepted)
+            {
+                return refuse_session(std::move(accepted), services);
+            }};
+}
+
+std::string engine::make_trace_id()
+{
+    return fmt::format("{:016x}-{:x}-{:x}",
+                       stable_hash(this->self.address),
+                       this->self.incarnation,
+                       ++this->last_trace);
+}
+
+std::vector<node::statistic> engine::collect()
+{
+    auto all = this->decide.collect_statistics();
+    this->figures.set({"exchanges_open"},
+                      static_cast<double>(this->exchanges.size()));
+    this->figures.set({"attempts_running"},
+                      static_cast<double>(this->attempted.running_count()));
+    for (auto const& figures :
+         {this->figures.collect(), collect_process_figures()})
+    {
+        all.insert(all.end(), figures.begin(), figures.end());
+    }
+    return all;
+}
+
+asio::awaitable<void> engine::keep_house()
+{
+    asio::steady_timer pause(this->tasks.executor());
+    while (!this->is_ending)
+    {
+        error_code problem;
+        pause.expires_after(house_interval);
+        co_await pause.async_wait(
+            asio::redirect_error(asio::use_awaitable, problem));
+        this->recorder.flush();
+        this->peer_pool.sweep();
+        this->upstream_pool.sweep();
+        this->platform_pool.sweep();
+        if (auto const& announced = this->local.announcement())
+        {
+            this->probe.probe(announced->address);
+        }
+    }
+}
+
+void engine::set_stopping()
+{
+    for (auto* const sessions : {&this->caller_sessions, &this->peer_sessions})
+    {
+        sessions->is_stopping = true;
+    }
+}
+
+void engine::begin_ending()
+{
+    if (std::exchange(this->is_ending, true))
+    {
+        return;
+    }
+    this->ending_since = std::chrono::steady_clock::now();
+    this->set_stopping();
+    this->local_sessions.is_stopping = true;
+    this->caller_listener.close();
+    this->peer_listener.close();
+    this->local_listener.close();
+    for (auto* const sessions :
+         {&this->caller_sessions, &this->peer_sessions, &this->local_sessions})
+    {
+        for (auto* const each : sessions->open_sessions)
+        {
+            each->close_if_idle();
+        }
+    }
+}
+
+std::size_t engine::busy_sessions() const
+{
+    return this->caller_sessions.open_sessions.size() +
+           this->peer_sessions.open_sessions.size() +
+           this->local_sessions.open_sessions.size();
+}
+
+} // namespace plantaintally::drivers
--- /dev/null
+++ b/src/drivers/internal/exchange_table.cpp
@@ -0,0 +1,61 @@
+#include "drivers/internal/exchange_table.hpp"
+
+#include <utility>
+
+namespace plantaintally::drivers
+{
+
+namespace
+{
+
+// How often a waiting exchange looks again; the reducer ends every exchange.
+constexpr duration wait_interval = std::chrono::hours(1);
+
+} // namespace
+
+exchange_table::exchange_table(asio::any_io_executor const& executor)
+    : replies(executor)
+{
+}
+
+exchange_id exchange_table::open(exchange content)
+{
+    exchange_id const id{++this->last_id};
+    this->exchanges.emplace(id, std::move(content));
+    this->replies.open(id);
+    return id;
+}
+
+exchange const* exchange_table::find(exchange_id id) const
+{
+    auto const found = this->exchanges.find(id);
+    return found == this->exchanges.end() ? nullptr : &found->second;
+}
+
+void exchange_table::reply(exchange_id id, exchange_reply content)
+{
+    this->exchanges.erase(id);
+    this->replies.resolve(id, std::move(content));
+}
+
+asio::awaitable<exchange_reply> exchange_table::wait(exchange_id id)
+{
+    auto content = co_await this->replies.wait(id, wait_interval);
+    this->exchanges.erase(id);
+    if (!content)
+    {
+        hop_report report;
+        report.reason = refusal::deadline_passed;
+        constexpr std::uint32_t gateway_timeout = 504;
+        co_return refused_answer{
+            gateway_timeout, "the request was never decided", report};
+    }
+    co_return std::move(*content);
+}
+
+std::size_t exchange_table::size() const
+{
+    return this->exchanges.size();
+}
+
+} // namespace plantaintally::drivers
--- /dev/null
+++ b/src/drivers/internal/pending_replies.hpp
@@ -0,0 +1,87 @@
+// Replies that a coroutine waits for and that come from elsewhere, by id.
+#pragma once
+
+#include "base/moment.hpp"
+#include "drivers/internal/http.hpp"
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <optional>
+#include <unordered_map>
+#include <utility>
+
+namespace plantaintally::drivers
+{
+
+template <class Id, class Reply>
+class pending_replies
+{
+public:
+    explicit pending_replies(asio::any_io_executor executor)
+        : runs_on(std::move(executor))
+    {
+    }
+
+    void open(Id id)
+    {
+        this->entries.try_emplace(id, this->runs_on);
+    }
+
+    // False if nobody waits under this id.
+    bool resolve(Id id, Reply reply)
+    {
+        auto const found = this->entries.find(id);
+        if (found == this->entries.end() || found->second.reply)
+        {
+            return false;
+        }
+        found->second.reply = std::move(reply);
+        found->second.signal.cancel();
+        return true;
+    }
+
+    // The reply once it is there, or nothing after this time. Ends the entry.
+    asio::awaitable<std::optional<Reply>> wait(Id id, duration time_left)
+    {
+        auto const found = this->entries.find(id);
+        if (found == this->entries.end())
+        {
+            co_return std::nullopt;
+        }
+        auto& entry = found->second;
+        if (!entry.reply)
+        {
+            error_code ignored;
+            entry.signal.expires_after(time_left);
+            co_await entry.signal.async_wait(
+                asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        auto reply = std::move(entry.reply);
+        this->entries.erase(id);
+        co_return reply;
+    }
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return this->entries.size();
+    }
+
+private:
+    struct entry
+    {
+        explicit entry(asio::any_io_executor const& executor) : signal(executor)
+        {
+        }
+
+        asio::steady_timer signal;
+        std::optional<Reply> reply;
+    };
+
+    asio::any_io_executor runs_on;
+    std::unordered_map<Id, entry> entries;
+};
+
+} // namespace plantaintally::drivers
--- /dev/null
+++ b/src/drivers/internal/request_reader.cpp
@@ -0,0 +1,191 @@
+#include "drivers/internal/request_reader.hpp"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/http.hpp>
+
+#include <utility>
+
+namespace plantaintally::drivers
+{
+
+namespace
+{
+
+namespace http = boost::beast::http;
+using parser = http::request_parser<http::string_body>;
+
+// Bytes asked for at once when a request begins.
+constexpr std::size_t first_read_bytes = 4096;
+// Room in the buffer for the part of a body that is read with the headers.
+constexpr std::size_t body_buffer_bytes = 64U << 10U;
+
+read_failure classify(error_code problem, bool is_header)
+{
+    if (problem == http::error::header_limit ||
+        problem == http::error::buffer_overflow)
+    {
+        return read_failure::header_too_large;
+    }
+    if (problem == http::error::body_limit)
+    {
+        return read_failure::body_too_large;
+    }
+    if (problem == http::error::end_of_stream)
+    {
+        return read_failure::closed;
+    }
+    bool const is_protocol_error =
+        problem.category() ==
+        http::make_error_code(http::error::bad_method).category();
+    if (problem == http::error::partial_message || !is_protocol_error)
+    {
+        return is_header ? read_failure::closed : read_failure::incomplete;
+    }
+    return read_failure::malformed;
+}
+
+incoming_request take_request(parser& source)
+{
+    bool const is_keep_alive = source.keep_alive();
+    auto message = source.release();
+    incoming_request request{std::string(message.method_string()),
+                             std::string(message.target()),
+                             {},
+                             std::move(message.body()),
+                             is_keep_alive};
+    for (auto const& field : message)
+    {
+        request.headers.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    }
+    return request;
+}
+
+asio::awaitable<void> write_continue(tcp::socket& socket)
+{
+    http::response<http::empty_body> const interim(http::status::continue_, 11);
+    error_code ignored;
+    co_await http::async_write(
+        socket, interim, asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+bool expects_continue(parser const& head)
+{
+    auto const expectation = head.get()[http::field::expect];
+    return boost::beast::iequals(expectation, "100-continue");
+}
+
+} // namespace
+
+std::string_view to_string(read_failure failure)
+{
+    switch (failure)
+    {
+    case read_failure::closed:
+        return "closed";
+    case read_failure::idle:
+        return "idle";
+    case read_failure::incomplete:
+        return "incomplete";
+    case read_failure::malformed:
+        return "malformed";
+    case read_failure::header_too_large:
+        return "header-too-large";
+    case read_failure::body_too_large:
+        return "body-too-large";
+    case read_failure::header_too_slow:
+        return "header-too-slow";
+    case read_failure::body_too_slow:
+        return "body-too-slow";
+    }
+    return "malformed";
+}
+
+request_reader::request_reader(tcp::socket& connection,
+                               deadline_guard& guarding,
+                               read_limits const& bounds)
+    : socket(connection), guard(guarding), limits(bounds),
+      buffer(bounds.max_header_bytes + body_buffer_bytes)
+{
+}
+
+asio::awaitable<error_code> request_reader::read_first_bytes()
+{
+    error_code problem;
+    auto const room = this->buffer.prepare(first_read_bytes);
+    auto const count = co_await this->socket.async_read_some(
+        room, asio::redirect_error(asio::use_awaitable, problem));
+    this->buffer.commit(count);
+    this->byte_count += count;
+    co_return problem;
+}
+
+asio::awaitable<read_result> request_reader::read()
+{
+    this->is_between_requests = this->buffer.size() == 0;
+    if (this->is_between_requests)
+    {
+        this->guard.arm(this->limits.idle_timeout);
+        auto const problem = co_await this->read_first_bytes();
+        if (problem)
+        {
+            co_return this->guard.is_expired() ? read_failure::idle
+                                               : read_failure::closed;
+        }
+    }
+    this->is_between_requests = false;
+    auto message = co_await this->read_message();
+    this->guard.disarm();
+    co_return message;
+}
+
+asio::awaitable<read_result> request_reader::read_message()
+{
+    parser source;
+    source.header_limit(this->limits.max_header_bytes);
+    source.body_limit(this->limits.max_body_bytes);
+    error_code problem;
+    this->guard.arm(this->limits.header_timeout);
+    this->byte_count += co_await http::async_read_header(
+        this->socket,
+        this->buffer,
+        source,
+        asio::redirect_error(asio::use_awaitable, problem));
+    if (problem)
+    {
+        co_return this->guard.is_expired() ? read_failure::header_too_slow
+                                           : classify(problem, true);
+    }
+    this->guard.arm(this->limits.body_timeout);
+    if (expects_continue(source))
+    {
+        co_await write_continue(this->socket);
+    }
+    if (!source.is_done())
+    {
+        this->byte_count += co_await http::async_read(
+            this->socket,
+            this->buffer,
+            source,
+            asio::redirect_error(asio::use_awaitable, problem));
+    }
+    if (problem)
+    {
+        co_return this->guard.is_expired() ? read_failure::body_too_slow
+                                           : classify(problem, false);
+    }
+    co_return take_request(source);
+}
+
+bool request_reader::is_idle() const
+{
+    return this->is_between_requests;
+}
+
+std::uint64_t request_reader::take_byte_count()
+{
+    return std::exchange(this->byte_count, 0);
+}
+
+} // namespace plantaintally::drivers
--- /dev/null
+++ b/src/drivers/internal/request_reader.hpp
@@ -0,0 +1,73 @@
+// Reads whole requests from a connection within limits.
+#pragma once
+
+#include "base/moment.hpp"
+#include "drivers/internal/deadline_guard.hpp"
+#include "drivers/internal/http.hpp"
+
+#include <boost/beast/core/flat_buffer.hpp>
+
+#include <cstdint>
+#include <string_view>
+#include <variant>
+
+namespace plantaintally::drivers
+{
+
+struct read_limits
+{
+    std::uint32_t max_header_bytes = 0;
+    std::uint32_t max_body_bytes = 0;
+    duration idle_timeout{};
+    duration header_timeout{};
+    duration body_timeout{};
+};
+
+// Why a request could not be read.
+enum class read_failure
+{
+    // The connection ended between requests, or stayed unused for too long.
+    closed,
+    idle,
+    // Part of a request was read.
+    incomplete,
+    malformed,
+    header_too_large,
+    body_too_large,
+    header_too_slow,
+    body_too_slow
+};
+
+// The name used in metrics and logs.
+std::string_view to_string(read_failure failure);
+
+using read_result = std::variant<incoming_request, read_failure>;
+
+class request_reader
+{
+public:
+    // The socket and the guard must outlive the reader.
+    request_reader(tcp::socket& connection,
+                   deadline_guard& guarding,
+                   read_limits const& bounds);
+
+    asio::awaitable<read_result> read();
+
+    // True while no byte of a next request has been read.
+    [[nodiscard]] bool is_idle() const;
+    // Bytes read since the last call.
+    std::uint64_t take_byte_count();
+
+private:
+    tcp::socket& socket;
+    deadline_guard& guard;
+    read_limits limits;
+    boost::beast::flat_buffer buffer;
+    bool is_between_requests = true;
+    std::uint64_t byte_count = 0;
+
+    asio::awaitable<error_code> read_first_bytes();
+    asio::awaitable<read_result> read_message();
+};
+
+} // namespace plantaintally::drivers
--- /dev/null
+++ b/src/drivers/internal/session.hpp
@@ -0,0 +1,91 @@
+// One connection of a caller, a peer or the local upstream: its requests in
+// turn, each answered before the next is read.
+#pragma once
+
+#include "drivers/internal/answer_headers.hpp"
+#include "drivers/internal/counters.hpp"
+#include "drivers/internal/deadline_guard.hpp"
+#include "drivers/internal/exchange_table.hpp"
+#include "drivers/internal/request_reader.hpp"
+#include "messages/events.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace plantaintally::drivers
+{
+
+class session;
+
+// An answer that the local interface makes by itself.
+struct local_answer
+{
+    std::uint32_t status = 200;
+    std::string media_type = "application/json";
+    std::string body;
+};
+
+// What all sessions of a listener share; outlives them.
+struct session_services
+{
+    counters& figures;
+    exchange_table& exchanges;
+    std::function<void(event)> hand_in;
+    read_limits limits;
+    duration write_timeout{};
+    request_source source = request_source::caller;
+    std::string_view listener_name;
+    // A trace id for a request that brings none.
+    std::function<std::string()> make_trace_id;
+    // The service of the local upstream.
+    std::function<std::string()> local_service;
+    // Answers a request of the local interface; nothing if it is none of it.
+    std::function<asio::awaitable<std::optional<local_answer>>(
+        incoming_request const&)>
+        answer_locally;
+    // Set once a planned stop began: answers end their connection.
+    bool is_stopping = false;
+    std::set<session*> open_sessions;
+};
+
+class session
+{
+public:
+    session(tcp::socket accepted, session_services& shared);
+    ~session();
+    session(session const&) = delete;
+    session& operator=(session const&) = delete;
+
+    // Serves the connection until it ends.
+    asio::awaitable<void> serve();
+    // Tells the other side that there are too many connections.
+    asio::awaitable<void> refuse_connection();
+    // Ends the connection if no request is on it.
+    void close_if_idle();
+
+private:
+    session_services& services;
+    tcp::socket socket;
+    deadline_guard guard;
+    request_reader reader;
+    std::string remote_ip;
+
+    asio::awaitable<bool> serve_request(incoming_request request);
+    asio::awaitable<bool> serve_exchange(incoming_request request,
+                                         arrival arrived);
+    asio::awaitable<exchange_reply> await_reply(exchange_id id);
+    asio::awaitable<bool> write_reply(answer_recipient const& recipient,
+                                      exchange_reply const& reply,
+                                      bool is_head,
+                                      bool is_keep_alive);
+    asio::awaitable<bool> write(outgoing_answer content);
+    asio::awaitable<void> refuse_input(read_failure failure);
+    void watch_caller(exchange_id id, std::shared_ptr<bool> is_watching);
+    void count_input(std::string_view reason);
+    [[nodiscard]] arrival_origin origin() const;
+};
+
+} // namespace plantaintally::drivers
