Add the operators' language, fleet-wide queries, and plantaintallyctl

Cause: operators need one language for questions and changes, and answers over all nodes without one node asking everyone.

--- /dev/null
+++ b/src/operator_tool/internal/client.cpp
@@ -0,0 +1,178 @@
+#include "operator_tool/client.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+
+namespace plantaintally::operator_tool
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+constexpr std::string_view command_target = "/plantaintally/v1/command";
+
+// Longest reply that is read, in bytes.
+constexpr std::uint64_t max_reply_bytes = 64ULL << 20U;
+
+result<asio::ip::tcp::endpoint> endpoint_of(std::string_view address)
+{
+    std::size_t const colon = address.rfind(':');
+    if (colon == std::string_view::npos)
+    {
+        return fail(errc::invalid_input,
+                    "'" + std::string(address) + "' is not host:port");
+    }
+    std::string_view const port_text = address.substr(colon + 1);
+    std::uint16_t port = 0;
+    auto const [rest, failure] = std::from_chars(
+        port_text.data(), port_text.data() + port_text.size(), port);
+    bool const is_number =
+        failure == std::errc{} && rest == port_text.data() + port_text.size();
+    boost::system::error_code code;
+    auto const host =
+        asio::ip::make_address(std::string(address.substr(0, colon)), code);
+    if (!is_number || code)
+    {
+        return fail(errc::invalid_input,
+                    "'" + std::string(address) +
+                        "' is not an IP address and a port");
+    }
+    return asio::ip::tcp::endpoint(host, port);
+}
+
+http::request<http::string_body> make_request(std::string_view node_address,
+                                              std::string_view text)
+{
+    http::request<http::string_body> request(
+        http::verb::post, std::string(command_target), 11);
+    request.set(http::field::host, std::string(node_address));
+    request.set(http::field::content_type, "application/json");
+    request.body() = nlohmann::json{{"text", std::string(text)}}.dump(
+        -1, ' ', false, nlohmann::json::error_handler_t::replace);
+    request.prepare_payload();
+    return request;
+}
+
+result<command_reply> read_reply(std::string const& body)
+{
+    auto const json = nlohmann::json::parse(body, nullptr, false);
+    if (!json.is_object())
+    {
+        return fail(errc::io_failure, "the reply is not a JSON object");
+    }
+    try
+    {
+        command_reply reply;
+        reply.status = json.value("status", "unknown");
+        reply.message = json.value("message", "");
+        reply.table.columns = json.value("columns", std::vector<std::string>{});
+        reply.table.rows = json.value("rows", std::vector<table_row>{});
+        return reply;
+    }
+    catch (nlohmann::json::exception const& failure)
+    {
+        return fail(errc::io_failure,
+                    std::string("the reply is malformed: ") + failure.what());
+    }
+}
+
+// One exchange over one connection, driven by callbacks on one io_context.
+class exchange
+{
+public:
+    exchange(std::string_view node_address, std::string_view text)
+        : stream(this->io), request(make_request(node_address, text))
+    {
+        this->parser.body_limit(max_reply_bytes);
+    }
+
+    result<command_reply> run(asio::ip::tcp::endpoint const& endpoint,
+                              duration limit)
+    {
+        this->stream.expires_after(limit);
+        this->stream.async_connect(endpoint,
+                                   [this](boost::system::error_code outcome)
+                                   { this->handle_connected(outcome); });
+        this->io.run();
+        if (!this->is_connected)
+        {
+            return fail(errc::unavailable,
+                        "no connection to the node: " + this->code.message());
+        }
+        if (this->code == beast::error::timeout)
+        {
+            return fail(errc::timeout, "the node did not reply in time");
+        }
+        if (this->code)
+        {
+            return fail(errc::io_failure,
+                        "the connection failed: " + this->code.message());
+        }
+        return read_reply(this->parser.get().body());
+    }
+
+private:
+    void handle_connected(boost::system::error_code connected)
+    {
+        this->code = connected;
+        if (connected)
+        {
+            return;
+        }
+        this->is_connected = true;
+        http::async_write(this->stream,
+                          this->request,
+                          [this](boost::system::error_code outcome, std::size_t)
+                          { this->handle_written(outcome); });
+    }
+
+    void handle_written(boost::system::error_code written)
+    {
+        this->code = written;
+        if (written)
+        {
+            return;
+        }
+        http::async_read(this->stream,
+                         this->buffer,
+                         this->parser,
+                         [this](boost::system::error_code outcome, std::size_t)
+                         { this->code = outcome; });
+    }
+
+    asio::io_context io;
+    beast::tcp_stream stream;
+    http::request<http::string_body> request;
+    http::response_parser<http::string_body> parser;
+    beast::flat_buffer buffer;
+    boost::system::error_code code;
+    bool is_connected = false;
+};
+
+} // namespace
+
+result<command_reply> send_command(std::string_view node_address,
+                                   std::string_view text,
+                                   duration limit)
+{
+    result<asio::ip::tcp::endpoint> const endpoint = endpoint_of(node_address);
+    if (endpoint.has_error())
+    {
+        return endpoint.error();
+    }
+    exchange sent(node_address, text);
+    return sent.run(endpoint.value(), limit);
+}
+
+} // namespace plantaintally::operator_tool
--- a/tools/cmake/dependencies.cmake
+++ b/tools/cmake/dependencies.cmake
@@ -9,7 +9,9 @@
 add_library(plantaintally_options INTERFACE)
 target_compile_options(
     plantaintally_options
-    INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor)
+    # g++ 12 reports -Wrestrict wrongly for std::string (GCC bug 105651).
+    INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor
+              -Wno-restrict)
 target_compile_definitions(
     plantaintally_options
     INTERFACE BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_SEPARATE_COMPILATION
