--- a/src/once/once.hpp
+++ b/src/once/once.hpp
@@ -7,6 +7,7 @@
 #include "messages/step.hpp"
 #include "once/messages.hpp"
 
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -96,10 +97,24 @@
     hop_report report;
 };
 
+// What this home knows of a key that it has accepted.
+struct key_record
+{
+    // The exchange whose execution was allowed.
+    exchange_id running;
+    // Set once that execution has ended.
+    std::optional<key_outcome> outcome;
+};
+
 // State of the protocol at this node; owned by the node's state.
 struct state
 {
     options own;
+    // Members of this node's service that are not gone, in order of address.
+    std::vector<membership::member_record> members;
+    std::map<std::string, key_record, std::less<>> keys;
+    // The key that each running execution belongs to.
+    std::map<exchange_id, std::string> running;
 };
 
 void start(state& once, step& current);
