Join, watch and spread: membership and configuration link

Cause: the node's reducer needs both modules to compose. Change: membership joins by contacts, exchanges heartbeats in cells, spreads news by gossip and repairs by digests; configuration reads, changes and spreads the document. heartbeat::heard holds short hashes; view_digest has buckets; revision_digest tells readiness and age; change_batch carries single changes; change_record names its object.

--- a/src/codec/internal/configuration_json.hpp
+++ b/src/codec/internal/configuration_json.hpp
@@ -22,8 +22,12 @@
                    method,
                    path_prefix,
                    rank)
-PLANTAINTALLY_JSON(
-    configuration::change_record, "change_record", change_id, revision, text)
+PLANTAINTALLY_JSON(configuration::change_record,
+                   "change_record",
+                   change_id,
+                   revision,
+                   text,
+                   object)
 PLANTAINTALLY_JSON(configuration::document,
                    "document",
                    revision,
@@ -34,7 +38,32 @@
 PLANTAINTALLY_JSON(configuration::revision_digest,
                    "revision_digest",
                    revision,
-                   wants_document)
+                   wants_document,
+                   is_ready,
+                   confirmed_age)
 PLANTAINTALLY_JSON(configuration::document_update, "document_update", content)
+PLANTAINTALLY_JSON(configuration::create_rank, "create_rank", rank)
+PLANTAINTALLY_JSON(configuration::alter_rank,
+                   "alter_rank",
+                   name,
+                   urgency,
+                   worth,
+                   attempt_budget,
+                   deadline,
+                   is_protected)
+PLANTAINTALLY_JSON(configuration::remove_rank, "remove_rank", name)
+PLANTAINTALLY_JSON(configuration::create_rule, "create_rule", rule)
+PLANTAINTALLY_JSON(configuration::remove_rule, "remove_rule", name)
+PLANTAINTALLY_JSON(configuration::drain_node, "drain_node", address)
+PLANTAINTALLY_JSON(configuration::undrain_node, "undrain_node", address)
+PLANTAINTALLY_JSON(
+    configuration::change, "change", change_id, expected_revision, text, body)
+PLANTAINTALLY_JSON(configuration::accepted_change,
+                   "accepted_change",
+                   base_revision,
+                   revision,
+                   content_hash,
+                   requested)
+PLANTAINTALLY_JSON(configuration::change_batch, "change_batch", changes)
 
 } // namespace plantaintally::codec
--- a/src/codec/internal/membership_json.hpp
+++ b/src/codec/internal/membership_json.hpp
@@ -24,8 +24,12 @@
                    news,
                    view_hash,
                    configuration_revision)
-PLANTAINTALLY_JSON(membership::gossip, "gossip", news)
-PLANTAINTALLY_JSON(
-    membership::view_digest, "view_digest", services, hashes, is_reply)
+PLANTAINTALLY_JSON(membership::gossip, "gossip", news, is_repair)
+PLANTAINTALLY_JSON(membership::view_digest,
+                   "view_digest",
+                   bucket_hashes,
+                   services,
+                   hashes,
+                   is_reply)
 
 } // namespace plantaintally::codec
--- a/src/codec/tests/control_codec_test.cpp
+++ b/src/codec/tests/control_codec_test.cpp
@@ -41,19 +41,25 @@
     auto const number = *rc::gen::arbitrary<std::uint64_t>();
     auto const flag = *rc::gen::arbitrary<bool>();
     auto const at = instant(duration(*rc::gen::arbitrary<std::int64_t>()));
-    switch (*rc::gen::inRange(0, 9))
+    switch (*rc::gen::inRange(0, 10))
     {
     case 0:
         return membership::message(membership::heartbeat{
-            number, {text, "a"}, any_records(), number, 7});
+            number, {7, 4'000'000'000}, any_records(), number, 7});
     case 1:
-        return membership::message(membership::gossip{any_records()});
+        return membership::message(membership::gossip{any_records(), flag});
     case 2:
         return membership::message(
-            membership::view_digest{{text}, {number}, flag});
+            membership::view_digest{{1, number}, {text}, {number}, flag});
     case 3:
         return configuration::message(
-            configuration::revision_digest{number, flag});
+            configuration::revision_digest{number, flag, !flag, duration(9)});
+    case 9:
+        return configuration::message(configuration::change_batch{
+            {{number,
+              number + 1,
+              number,
+              {text, number, text, configuration::drain_node{text}}}}});
     case 4:
         return once::message(once::vouch_request{text, number, at});
     case 5:
--- a/src/codec/tests/document_codec_test.cpp
+++ b/src/codec/tests/document_codec_test.cpp
@@ -22,7 +22,8 @@
                                      *rc::gen::arbitrary<bool>()});
             written.rules.push_back({"a", "b", "POST", "/slots", "booking"});
             written.drained_nodes = {"127.0.0.1:7001"};
-            written.changes.push_back({"id", written.revision, "create rank"});
+            written.changes.push_back(
+                {"id", written.revision, "create rank", "rank:booking"});
             auto const read = decode_document(encode_document(written));
             RC_ASSERT(read.has_value());
             RC_ASSERT(read.value() == written);
--- a/src/configuration/configuration.hpp
+++ b/src/configuration/configuration.hpp
@@ -6,9 +6,9 @@
 #include "configuration/change.hpp"
 #include "configuration/document.hpp"
 #include "configuration/messages.hpp"
+#include "configuration/state.hpp"
 #include "messages/step.hpp"
 
-#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -20,13 +20,8 @@
 // The key of the document at the platform's service.
 inline constexpr std::string_view document_key = "plantaintally/configuration";
 
-// State of the configuration at this node; owned by the node's state.
-struct state
-{
-    node_id self;
-    std::string availability_zone;
-    document in_force;
-};
+// The number of accepted changes that the document remembers.
+inline constexpr std::size_t max_change_records = 512;
 
 // The document that holds before an operator has made any change: one rank,
 // "default", that every request belongs to.
@@ -39,6 +34,10 @@
 // while that is down, of its peers; no work is admitted before.
 bool is_ready(state const& configuration);
 
+// Time since the platform's service last confirmed that the revision in force
+// is the newest, as far as this node knows; nothing if it never did.
+std::optional<duration> confirmed_age(state const& configuration, instant now);
+
 // The rank of a request by the match rules; the rank named "default", or the
 // least urgent one, if no rule matches.
 rank_definition const& classify(document const& content,
@@ -54,8 +53,12 @@
 // change is refused.
 result<document> apply_change(document const& content, change const& requested);
 
-// Applies an operator's change by compare-and-swap; answers the command with
-// accepted, conflict, refused or unknown, now or in a later step.
+// Applies an operator's change by compare-and-swap. Answers the command, now or
+// in a later step, with status "ok" ("accepted as revision N"), "conflict" (a
+// change of the same object came first), "refused" (invalid, or not made) or
+// "unknown" (the write's answer was lost and could not be found out in time;
+// submitting the same change again is safe). The table of an "ok" has the
+// columns "change" and "revision".
 void submit_change(state& configuration,
                    command_id command,
                    change const& requested,
@@ -75,6 +78,11 @@
 void handle_time(state& configuration,
                  std::span<std::string const> peers,
                  step& current);
+// A heartbeat of this node tells the revision that it has in force.
+void note_peer_revision(state& configuration,
+                        std::string const& address,
+                        std::uint64_t revision,
+                        step& current);
 std::optional<instant> next_deadline(state const& configuration);
 
 } // namespace plantaintally::configuration
--- a/src/configuration/document.hpp
+++ b/src/configuration/document.hpp
@@ -48,8 +48,13 @@
 struct change_record
 {
     std::string change_id;
+    // The revision that the change made; zero in the newest record as stored,
+    // since the platform's service gives it with the write.
     std::uint64_t revision = 0;
     std::string text;
+    // What the change touched: "rank:NAME", "rule:NAME" or "node:ADDRESS".
+    // Changes that touch different objects commute.
+    std::string object;
 
     bool operator==(change_record const&) const = default;
 };
--- /dev/null
+++ b/src/configuration/internal/in_force.cpp
@@ -0,0 +1,124 @@
+#include "configuration/internal/in_force.hpp"
+
+#include "codec/document_codec.hpp"
+#include "configuration/configuration.hpp"
+#include "configuration/internal/change_rules.hpp"
+#include "configuration/internal/spread.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaintally::configuration
+{
+
+namespace
+{
+
+// Accepted changes that are remembered for nodes that lag behind.
+constexpr std::size_t max_recent_changes = 128;
+
+void note_adopted(state& configuration, std::string_view source, step& current)
+{
+    record(current,
+           "",
+           "configuration",
+           "in-force",
+           "revision=" + std::to_string(configuration.in_force.revision) +
+               " by=" + std::string(source));
+}
+
+} // namespace
+
+bool adopt_document(state& configuration, document content, step& current)
+{
+    if (content.revision <= configuration.in_force.revision)
+    {
+        return false;
+    }
+    configuration.in_force = std::move(content);
+    note_adopted(configuration, "document", current);
+    begin_spread(configuration, configuration.in_force.revision, current);
+    return true;
+}
+
+bool adopt_change(state& configuration,
+                  accepted_change const& accepted,
+                  step& current)
+{
+    std::uint64_t const base = configuration.in_force.revision;
+    if (accepted.base_revision != base || accepted.revision <= base)
+    {
+        return false;
+    }
+    result<document> successor =
+        make_successor(configuration.in_force, accepted.requested);
+    if (!successor)
+    {
+        return false;
+    }
+    set_revision(successor.value(), accepted.revision);
+    if (hash_document(successor.value()) != accepted.content_hash)
+    {
+        return false;
+    }
+    configuration.in_force = std::move(successor.value());
+    configuration.recent.push_back(accepted);
+    if (configuration.recent.size() > max_recent_changes)
+    {
+        configuration.recent.pop_front();
+    }
+    note_adopted(configuration, "change", current);
+    begin_spread(configuration, base, current);
+    return true;
+}
+
+change_batch changes_since(state const& configuration,
+                           std::uint64_t base_revision)
+{
+    change_batch batch;
+    std::uint64_t reached = base_revision;
+    for (accepted_change const& accepted : configuration.recent)
+    {
+        if (accepted.base_revision == reached)
+        {
+            batch.changes.push_back(accepted);
+            reached = accepted.revision;
+        }
+    }
+    if (reached != configuration.in_force.revision)
+    {
+        batch.changes.clear();
+    }
+    return batch;
+}
+
+void note_confirmed(state& configuration, std::uint64_t revision, instant when)
+{
+    if (revision != configuration.in_force.revision)
+    {
+        return;
+    }
+    if (!configuration.confirmed_at || *configuration.confirmed_at < when)
+    {
+        configuration.confirmed_at = when;
+    }
+}
+
+std::optional<document> read_entry(store_entry const& entry, step& current)
+{
+    result<document> decoded = codec::decode_document(entry.value);
+    if (!decoded)
+    {
+        record(current,
+               "",
+               "configuration",
+               "unreadable-document",
+               "revision=" + std::to_string(entry.revision));
+        return std::nullopt;
+    }
+    document content = std::move(decoded.value());
+    set_revision(content, entry.revision);
+    return content;
+}
+
+} // namespace plantaintally::configuration
--- /dev/null
+++ b/src/membership/internal/anti_entropy.cpp
@@ -0,0 +1,242 @@
+#include "membership/internal/anti_entropy.hpp"
+
+#include "membership/internal/send.hpp"
+#include "membership/internal/view.hpp"
+
+#include <algorithm>
+#include <map>
+#include <set>
+#include <utility>
+
+namespace plantaintally::membership
+{
+
+namespace
+{
+
+// Services asked for in one message, so that a node that joins takes in the
+// fleet at a bounded rate.
+constexpr std::size_t max_fetched_services = 15;
+// Records in one message of a repair.
+constexpr std::size_t max_repair_records = 256;
+// Differences that are remembered; the next comparison finds the others.
+constexpr std::size_t max_pending_fetches = 4096;
+
+void send_records(state const& membership,
+                  std::string_view service,
+                  std::string const& address,
+                  step& current)
+{
+    std::vector<member_record> const records = records_of(membership, service);
+    for (std::size_t begin = 0; begin < records.size();
+         begin += max_repair_records)
+    {
+        std::size_t const end =
+            std::min(records.size(), begin + max_repair_records);
+        gossip repair;
+        repair.is_repair = true;
+        repair.news.assign(records.begin() + static_cast<std::ptrdiff_t>(begin),
+                           records.begin() + static_cast<std::ptrdiff_t>(end));
+        send(address, std::move(repair), current);
+    }
+}
+
+std::set<std::size_t> differing_buckets(std::vector<std::uint64_t> const& own,
+                                        std::vector<std::uint64_t> const& other)
+{
+    std::set<std::size_t> buckets;
+    for (std::size_t bucket = 0; bucket < own.size(); ++bucket)
+    {
+        if (bucket >= other.size() || own[bucket] != other[bucket])
+        {
+            buckets.insert(bucket);
+        }
+    }
+    return buckets;
+}
+
+// The services of the buckets with this node's hashes.
+view_digest list_services(state& membership,
+                          std::set<std::size_t> const& buckets)
+{
+    view_digest list;
+    for (auto const& [service, records] : membership.services)
+    {
+        if (buckets.contains(bucket_of(service)))
+        {
+            list.services.push_back(service);
+            list.hashes.push_back(hash_service(membership, service));
+        }
+    }
+    return list;
+}
+
+void answer_buckets(state& membership,
+                    node_id const& sender,
+                    view_digest const& digest,
+                    step& current)
+{
+    std::vector<std::uint64_t> own = hash_buckets(membership);
+    std::set<std::size_t> const buckets =
+        differing_buckets(own, digest.bucket_hashes);
+    if (buckets.empty())
+    {
+        return;
+    }
+    view_digest list = list_services(membership, buckets);
+    list.bucket_hashes = std::move(own);
+    list.is_reply = true;
+    send(sender.address, std::move(list), current);
+}
+
+// The peer has listed its services of the differing buckets.
+void take_list(state& membership,
+               node_id const& sender,
+               view_digest const& digest,
+               step& current)
+{
+    std::set<std::size_t> const buckets =
+        differing_buckets(hash_buckets(membership), digest.bucket_hashes);
+    std::set<std::string_view> listed;
+    for (std::size_t index = 0; index < digest.services.size(); ++index)
+    {
+        std::string const& service = digest.services[index];
+        listed.insert(service);
+        if (index < digest.hashes.size() &&
+            hash_service(membership, service) != digest.hashes[index] &&
+            membership.fetches.size() < max_pending_fetches)
+        {
+            membership.fetches.push_back({service, sender.address});
+        }
+    }
+    view_digest const own = list_services(membership, buckets);
+    for (std::string const& service : own.services)
+    {
+        if (!listed.contains(service))
+        {
+            send_records(membership, service, sender.address, current);
+        }
+    }
+    if (!membership.fetches.empty())
+    {
+        membership.next_fetch =
+            std::min(membership.next_fetch, current.now.monotonic);
+    }
+}
+
+// The peer asks for what differs from its own hashes.
+void answer_question(state& membership,
+                     node_id const& sender,
+                     view_digest const& digest,
+                     step& current)
+{
+    view_digest reply;
+    reply.is_reply = true;
+    for (std::size_t index = 0;
+         index < std::min(digest.services.size(), digest.hashes.size());
+         ++index)
+    {
+        std::string const& service = digest.services[index];
+        std::uint64_t const own = hash_service(membership, service);
+        if (own == digest.hashes[index] && own != 0)
+        {
+            continue;
+        }
+        send_records(membership, service, sender.address, current);
+        reply.services.push_back(service);
+        reply.hashes.push_back(own);
+    }
+    if (!reply.services.empty())
+    {
+        send(sender.address, std::move(reply), current);
+    }
+}
+
+// The peer has sent what it holds; it gets what it still lacks.
+void take_reply(state& membership,
+                node_id const& sender,
+                view_digest const& digest,
+                step& current)
+{
+    for (std::size_t index = 0;
+         index < std::min(digest.services.size(), digest.hashes.size());
+         ++index)
+    {
+        std::string const& service = digest.services[index];
+        auto const question = membership.questions.find(service);
+        if (question != membership.questions.end() && digest.hashes[index] == 0)
+        {
+            question->second.negative_answers += 1;
+        }
+        if (hash_service(membership, service) != digest.hashes[index])
+        {
+            send_records(membership, service, sender.address, current);
+        }
+    }
+}
+
+} // namespace
+
+void compare_views(state& membership, std::string const& address, step& current)
+{
+    view_digest digest;
+    digest.bucket_hashes = hash_buckets(membership);
+    send(address, std::move(digest), current);
+}
+
+void ask_service(state& membership,
+                 std::string_view service,
+                 std::string const& address,
+                 step& current)
+{
+    view_digest question;
+    question.services.emplace_back(service);
+    question.hashes.push_back(hash_service(membership, service));
+    send(address, std::move(question), current);
+}
+
+void handle_digest(state& membership,
+                   node_id const& sender,
+                   view_digest const& digest,
+                   step& current)
+{
+    if (!digest.bucket_hashes.empty())
+    {
+        if (digest.is_reply)
+        {
+            take_list(membership, sender, digest, current);
+            return;
+        }
+        answer_buckets(membership, sender, digest, current);
+        return;
+    }
+    if (digest.is_reply)
+    {
+        take_reply(membership, sender, digest, current);
+        return;
+    }
+    answer_question(membership, sender, digest, current);
+}
+
+void fetch_services(state& membership, step& current)
+{
+    std::map<std::string, view_digest> questions;
+    std::size_t const count =
+        std::min(max_fetched_services, membership.fetches.size());
+    for (std::size_t index = 0; index < count; ++index)
+    {
+        pending_fetch const& fetch = membership.fetches[index];
+        view_digest& question = questions[fetch.peer_address];
+        question.services.push_back(fetch.service);
+        question.hashes.push_back(hash_service(membership, fetch.service));
+    }
+    membership.fetches.erase(membership.fetches.begin(),
+                             membership.fetches.begin() +
+                                 static_cast<std::ptrdiff_t>(count));
+    for (auto& [address, question] : questions)
+    {
+        send(address, std::move(question), current);
+    }
+}
+
+} // namespace plantaintally::membership
--- /dev/null
+++ b/src/membership/internal/cell.hpp
@@ -0,0 +1,33 @@
+// The cell: the nodes that exchange heartbeats with this one.
+#pragma once
+
+#include "membership/state.hpp"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace plantaintally::membership
+{
+
+// Most members of a cell.
+inline constexpr std::size_t max_cell_size = 16;
+
+// The members of the cell that the record's node belongs to, without itself.
+// Members are divided in an order by hash, which mixes availability zones.
+std::vector<std::string> cell_of(state const& membership,
+                                 member_record const& record);
+
+// The nodes of other services that watch this record's node in addition: none
+// if its cell is large enough and spans several availability zones.
+std::vector<std::string> outside_watchers_of(state const& membership,
+                                             member_record const& record);
+
+// Works out this node's cell anew if members have come or gone, and whom to
+// watch.
+void refresh_cell(state& membership, instant now);
+
+// Chooses the outside watchers anew.
+void refresh_outside_watchers(state& membership);
+
+} // namespace plantaintally::membership
--- /dev/null
+++ b/src/membership/internal/membership.cpp
@@ -0,0 +1,593 @@
+#include "membership/membership.hpp"
+
+#include "membership/internal/anti_entropy.hpp"
+#include "membership/internal/cell.hpp"
+#include "membership/internal/contacts.hpp"
+#include "membership/internal/failure_detector.hpp"
+#include "membership/internal/news.hpp"
+#include "membership/internal/send.hpp"
+#include "membership/internal/view.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace plantaintally::membership
+{
+
+namespace
+{
+
+// Spread of every period around its mean.
+constexpr double period_jitter = 0.1;
+// Time until a node that joins reads the platform's service, at most.
+constexpr duration first_read_window = std::chrono::seconds(1);
+// Time between two choices of the outside watchers.
+constexpr duration watcher_choice_interval = std::chrono::seconds(30);
+// Time between two messages that ask for differing services.
+constexpr duration fetch_interval = std::chrono::milliseconds(500);
+// Time between two tries to reach a member that is held to be gone.
+constexpr duration reconnect_interval = std::chrono::seconds(10);
+// Time between two repairs of the own service's records.
+constexpr duration service_repair_interval = std::chrono::seconds(1);
+// Random peers that hear of a change of this node at once.
+constexpr std::size_t announcement_fanout = 3;
+// Random peers that hear at once that this node leaves, since it will not be
+// there to pass it on.
+constexpr std::size_t leaving_fanout = 8;
+// Peers asked for the members of an unknown service, and how long their
+// answers are awaited and a negative answer is relied on.
+constexpr std::size_t question_fanout = 3;
+constexpr duration question_timeout = std::chrono::milliseconds(500);
+constexpr duration question_lifetime = std::chrono::seconds(5);
+
+instant after(duration base, step& current)
+{
+    return current.now.monotonic +
+           draw_jittered(current.random, base, period_jitter);
+}
+
+std::vector<std::string> heartbeat_targets(state const& membership)
+{
+    std::vector<std::string> targets = membership.cell;
+    targets.insert(targets.end(),
+                   membership.outside_watchers.begin(),
+                   membership.outside_watchers.end());
+    return targets;
+}
+
+void send_heartbeats(state& membership, step& current)
+{
+    heartbeat beat;
+    beat.sequence = ++membership.heartbeat_sequence;
+    beat.heard = heard_lately(membership, current.now.monotonic);
+    beat.news = heartbeat_news(membership);
+    beat.view_hash = hash_service(membership, membership.self_record->service);
+    beat.configuration_revision = membership.configuration_revision;
+    for (std::string const& address : heartbeat_targets(membership))
+    {
+        send(address, beat, current);
+    }
+}
+
+// Changes this node's own record and spreads it at once.
+void publish_self(state& membership, std::size_t fanout, step& current)
+{
+    member_record const& self = *membership.self_record;
+    learn(membership, self, current);
+    refresh_cell(membership, current.now.monotonic);
+    std::vector<std::string> targets = heartbeat_targets(membership);
+    std::vector<std::string> const others =
+        draw_peers(membership, fanout, current);
+    targets.insert(targets.end(), others.begin(), others.end());
+    std::sort(targets.begin(), targets.end());
+    targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+    for (std::string const& address : targets)
+    {
+        send(address, gossip{{self}, false}, current);
+    }
+    membership.next_gossip =
+        std::min(membership.next_gossip, current.now.monotonic);
+}
+
+void set_own_status(state& membership,
+                    member_status status,
+                    std::size_t fanout,
+                    step& current)
+{
+    if (!membership.self_record || membership.is_leaving ||
+        membership.self_record->status == status)
+    {
+        return;
+    }
+    membership.self_record->status = status;
+    membership.self_record->status_version += 1;
+    publish_self(membership, fanout, current);
+}
+
+// News of this node itself that it did not make: answers with a newer version,
+// unless the news is about another incarnation.
+void refute(state& membership, member_record const& claim, step& current)
+{
+    if (!membership.self_record || membership.is_leaving)
+    {
+        return;
+    }
+    member_record& self = *membership.self_record;
+    bool const is_own = claim.node.incarnation == self.node.incarnation;
+    if (!is_own || !is_newer(claim, self))
+    {
+        return;
+    }
+    self.status_version = claim.status_version + 1;
+    record(current,
+           "",
+           "membership",
+           "refuted",
+           "version=" + std::to_string(self.status_version));
+    publish_self(membership, announcement_fanout, current);
+}
+
+void take_records(state& membership, gossip const& received, step& current)
+{
+    for (member_record const& record : received.news)
+    {
+        if (record.node.address == membership.own.self.address &&
+            record.node.incarnation >= membership.own.self.incarnation)
+        {
+            refute(membership, record, current);
+            continue;
+        }
+        if (received.is_repair)
+        {
+            merge_record(membership, record, current.now.monotonic);
+            continue;
+        }
+        learn(membership, record, current);
+    }
+    membership.next_gossip = std::min(
+        membership.next_gossip, after(membership.own.gossip_interval, current));
+}
+
+// A node of another cell sends its heartbeats here: it wants to be watched.
+void watch_outside(state& membership, node_id const& sender, step& current)
+{
+    member_record const* const held = find_member(membership, sender.address);
+    bool const is_foreign = held != nullptr && membership.self_record &&
+                            held->service != membership.self_record->service &&
+                            held->node.incarnation == sender.incarnation;
+    if (!is_foreign)
+    {
+        return;
+    }
+    auto const [place, is_new] = membership.watched.try_emplace(sender.address);
+    if (is_new || place->second.incarnation != sender.incarnation)
+    {
+        place->second = watched_peer{};
+        place->second.incarnation = sender.incarnation;
+        place->second.evidence_at = current.now.monotonic;
+        place->second.heard_at = current.now.monotonic;
+        place->second.is_outside = true;
+    }
+}
+
+// A node that is held to be gone sends messages: it is told, and refutes.
+void tell_if_gone(state& membership, node_id const& sender, step& current)
+{
+    auto const gone = membership.tombstones.find(sender.address);
+    if (gone != membership.tombstones.end() &&
+        gone->second.record.node.incarnation == sender.incarnation)
+    {
+        send(sender.address, gossip{{gone->second.record}, false}, current);
+    }
+}
+
+// The sender's view of the common service differs: repairs it, at most once
+// in an interval.
+void repair_service(state& membership,
+                    node_id const& sender,
+                    heartbeat const& beat,
+                    step& current)
+{
+    member_record const* const held = find_member(membership, sender.address);
+    bool const is_common = held != nullptr && membership.self_record &&
+                           held->service == membership.self_record->service;
+    if (!is_common)
+    {
+        return;
+    }
+    instant const now = current.now.monotonic;
+    bool const is_due = !membership.next_service_repair ||
+                        now >= *membership.next_service_repair;
+    if (is_due && beat.view_hash != hash_service(membership, held->service))
+    {
+        membership.next_service_repair =
+            after(service_repair_interval, current);
+        ask_service(membership, held->service, sender.address, current);
+    }
+}
+
+struct message_visitor
+{
+    state& membership;
+    node_id const& sender;
+    step& current;
+
+    void operator()(heartbeat const& received) const
+    {
+        take_records(
+            this->membership, gossip{received.news, false}, this->current);
+        watch_outside(this->membership, this->sender, this->current);
+        note_digest(
+            this->membership, received.heard, this->current.now.monotonic);
+        tell_if_gone(this->membership, this->sender, this->current);
+        repair_service(this->membership, this->sender, received, this->current);
+    }
+
+    void operator()(gossip const& received) const
+    {
+        take_records(this->membership, received, this->current);
+    }
+
+    void operator()(view_digest const& received) const
+    {
+        tell_if_gone(this->membership, this->sender, this->current);
+        handle_digest(this->membership, this->sender, received, this->current);
+    }
+};
+
+// Compares views with a random peer; a node that knows nobody tries the
+// contacts of its settings.
+void compare_with_random_peer(state& membership, step& current)
+{
+    for (std::string const& address : draw_peers(membership, 1, current))
+    {
+        compare_views(membership, address, current);
+    }
+}
+
+// A member that is held to be gone may be on the other side of a network cut.
+void try_reconnect(state& membership, step& current)
+{
+    if (membership.tombstones.empty())
+    {
+        return;
+    }
+    auto const chosen =
+        std::next(membership.tombstones.begin(),
+                  static_cast<std::ptrdiff_t>(draw_below(
+                      current.random, membership.tombstones.size())));
+    compare_views(membership, chosen->first, current);
+}
+
+void beat(state& membership, step& current)
+{
+    instant const now = current.now.monotonic;
+    if (now < membership.next_heartbeat)
+    {
+        return;
+    }
+    duration const lateness = now - membership.next_heartbeat;
+    if (lateness > membership.own.heartbeat_interval / 2)
+    {
+        forgive_lateness(membership, lateness, now);
+    }
+    membership.next_heartbeat =
+        after(membership.own.heartbeat_interval, current);
+    if (!membership.self_record || membership.is_leaving)
+    {
+        return;
+    }
+    refresh_cell(membership, now);
+    send_heartbeats(membership, current);
+    judge_peers(membership, current);
+}
+
+// Does the periodic work `act` if it is due, and sets its next time.
+template <class Action>
+void run_if_due(instant& next, duration interval, step& current, Action act)
+{
+    if (current.now.monotonic >= next)
+    {
+        next = after(interval, current);
+        act();
+    }
+}
+
+} // namespace
+
+void start(state& membership, step& current)
+{
+    instant const now = current.now.monotonic;
+    membership.is_started = true;
+    membership.gossip_refilled_at = now;
+    membership.next_heartbeat = now;
+    membership.next_gossip = after(membership.own.gossip_interval, current);
+    membership.next_comparison =
+        after(membership.own.comparison_interval, current);
+    membership.next_watcher_choice = after(watcher_choice_interval, current);
+    membership.next_fetch = after(fetch_interval, current);
+    membership.next_reconnect = after(reconnect_interval, current);
+    membership.contacts.next_read =
+        now + std::chrono::duration_cast<duration>(
+                  first_read_window * draw_fraction(current.random));
+    for (std::string const& address :
+         draw_peers(membership, announcement_fanout, current))
+    {
+        compare_views(membership, address, current);
+    }
+}
+
+void announce(state& membership,
+              upstream_announcement const& announcement,
+              step& current)
+{
+    if (!membership.self_record)
+    {
+        member_record self;
+        self.node = membership.own.self;
+        self.service = announcement.service;
+        self.availability_zone = membership.own.availability_zone;
+        self.slots = announcement.slots;
+        membership.self_record = self;
+        membership.is_cell_stale = true;
+        membership.next_heartbeat = current.now.monotonic;
+        // The view may already hold the node under its address.
+        if (member_record const* held =
+                find_record(membership, self.node.address);
+            held != nullptr && !is_newer(self, *held))
+        {
+            membership.self_record->status_version = held->status_version + 1;
+        }
+        publish_self(membership, announcement_fanout, current);
+        return;
+    }
+    member_record& self = *membership.self_record;
+    if (self.slots != announcement.slots ||
+        self.service != announcement.service)
+    {
+        self.slots = announcement.slots;
+        self.service = announcement.service;
+        self.status_version += 1;
+        membership.is_cell_stale = true;
+        publish_self(membership, announcement_fanout, current);
+    }
+}
+
+void announce_draining(state& membership, step& current)
+{
+    set_own_status(
+        membership, member_status::draining, announcement_fanout, current);
+}
+
+void announce_undrained(state& membership, step& current)
+{
+    set_own_status(
+        membership, member_status::alive, announcement_fanout, current);
+}
+
+void announce_leaving(state& membership, step& current)
+{
+    if (!membership.self_record || membership.is_leaving)
+    {
+        membership.is_leaving = true;
+        return;
+    }
+    std::vector<std::string> targets = heartbeat_targets(membership);
+    std::vector<std::string> const others =
+        draw_peers(membership, leaving_fanout, current);
+    targets.insert(targets.end(), others.begin(), others.end());
+    membership.self_record->status = member_status::gone;
+    membership.self_record->status_version += 1;
+    learn(membership, *membership.self_record, current);
+    for (std::string const& address : targets)
+    {
+        send(address, gossip{{*membership.self_record}, false}, current);
+    }
+    membership.is_leaving = true;
+    membership.cell.clear();
+    membership.outside_watchers.clear();
+    membership.watched.clear();
+}
+
+void note_draining(state& membership, std::string_view address, step& current)
+{
+    member_record const* const held = find_member(membership, address);
+    if (held == nullptr || held->status == member_status::draining ||
+        address == membership.own.self.address)
+    {
+        return;
+    }
+    member_record draining = *held;
+    draining.status = member_status::draining;
+    learn(membership, draining, current);
+}
+
+void note_configuration(state& membership, std::uint64_t revision)
+{
+    membership.configuration_revision = revision;
+}
+
+void handle_message(state& membership,
+                    node_id const& sender,
+                    message const& received,
+                    step& current)
+{
+    note_heard(membership, sender, current);
+    std::visit(message_visitor{membership, sender, current}, received);
+}
+
+void handle_store(state& membership,
+                  store_call_id call,
+                  store_result const& result,
+                  step& current)
+{
+    handle_contacts(membership, call, result, current);
+}
+
+void handle_time(state& membership, step& current)
+{
+    if (!membership.is_started)
+    {
+        return;
+    }
+    beat(membership, current);
+    run_if_due(membership.next_gossip,
+               membership.own.gossip_interval,
+               current,
+               [&] { gossip_round(membership, current); });
+    run_if_due(membership.next_comparison,
+               membership.own.comparison_interval,
+               current,
+               [&] { compare_with_random_peer(membership, current); });
+    run_if_due(membership.next_watcher_choice,
+               watcher_choice_interval,
+               current,
+               [&] { refresh_outside_watchers(membership); });
+    run_if_due(membership.next_fetch,
+               fetch_interval,
+               current,
+               [&] { fetch_services(membership, current); });
+    run_if_due(membership.next_reconnect,
+               reconnect_interval,
+               current,
+               [&] { try_reconnect(membership, current); });
+    forget_tombstones(membership, current.now.monotonic);
+    refresh_contacts(membership, current);
+}
+
+std::optional<instant> next_deadline(state const& membership)
+{
+    if (!membership.is_started)
+    {
+        return std::nullopt;
+    }
+    instant next = std::min({membership.next_heartbeat,
+                             membership.next_comparison,
+                             membership.next_watcher_choice,
+                             membership.next_reconnect,
+                             membership.contacts.next_read});
+    if (!membership.news.empty())
+    {
+        next = std::min(next, membership.next_gossip);
+    }
+    if (!membership.fetches.empty())
+    {
+        next = std::min(next, membership.next_fetch);
+    }
+    return next;
+}
+
+std::span<member_record const> members_of(state const& membership,
+                                          std::string_view service)
+{
+    auto const found = membership.services.find(service);
+    if (found == membership.services.end())
+    {
+        return {};
+    }
+    return found->second;
+}
+
+service_knowledge
+request_service(state& membership, std::string_view service, step& current)
+{
+    if (!members_of(membership, service).empty())
+    {
+        return service_knowledge::known;
+    }
+    instant const now = current.now.monotonic;
+    auto const place =
+        membership.questions.try_emplace(std::string(service)).first;
+    service_question& question = place->second;
+    bool const is_open =
+        question.asked_peers > 0 && now - question.asked_at < question_lifetime;
+    if (!is_open)
+    {
+        question = service_question{};
+        question.asked_at = now;
+        for (std::string const& address :
+             draw_peers(membership, question_fanout, current))
+        {
+            ask_service(membership, service, address, current);
+            question.asked_peers += 1;
+        }
+    }
+    bool const is_settled = question.negative_answers >= question.asked_peers ||
+                            now - question.asked_at >= question_timeout;
+    return is_settled ? service_knowledge::absent : service_knowledge::awaited;
+}
+
+member_record const* find_member(state const& membership,
+                                 std::string_view address)
+{
+    member_record const* const held = find_record(membership, address);
+    bool const is_live = held != nullptr && held->status != member_status::gone;
+    return is_live ? held : nullptr;
+}
+
+std::uint64_t view_version(state const& membership)
+{
+    return membership.view_version;
+}
+
+std::size_t member_count(state const& membership)
+{
+    return membership.service_by_address.size();
+}
+
+std::vector<std::string>
+draw_peers(state const& membership, std::size_t count, step& current)
+{
+    std::string const& self = membership.own.self.address;
+    bool const holds_self = membership.service_by_address.contains(self);
+    std::size_t const total = member_count(membership);
+    std::size_t const available = total - (holds_self ? 1 : 0);
+    std::vector<std::string> drawn;
+    if (available == 0)
+    {
+        drawn = membership.own.contacts;
+        std::erase(drawn, self);
+        while (drawn.size() > count)
+        {
+            drawn.erase(drawn.begin() + static_cast<std::ptrdiff_t>(draw_below(
+                                            current.random, drawn.size())));
+        }
+        return drawn;
+    }
+    while (drawn.size() < std::min(count, available))
+    {
+        std::size_t index = draw_below(current.random, total);
+        auto service = membership.services.begin();
+        while (index >= service->second.size())
+        {
+            index -= service->second.size();
+            ++service;
+        }
+        std::string const& address = service->second[index].node.address;
+        bool const is_drawn =
+            std::find(drawn.begin(), drawn.end(), address) != drawn.end();
+        if (address != self && !is_drawn)
+        {
+            drawn.push_back(address);
+        }
+    }
+    return drawn;
+}
+
+std::vector<member_record> all_members(state const& membership)
+{
+    std::vector<member_record> members;
+    members.reserve(member_count(membership));
+    for (auto const& [service, records] : membership.services)
+    {
+        members.insert(members.end(), records.begin(), records.end());
+    }
+    std::sort(members.begin(),
+              members.end(),
+              [](member_record const& left, member_record const& right)
+              { return left.node.address < right.node.address; });
+    return members;
+}
+
+} // namespace plantaintally::membership
--- /dev/null
+++ b/src/membership/internal/news.cpp
@@ -0,0 +1,162 @@
+#include "membership/internal/news.hpp"
+
+#include "membership/internal/send.hpp"
+#include "membership/internal/view.hpp"
+#include "membership/membership.hpp"
+
+#include <algorithm>
+
+namespace plantaintally::membership
+{
+
+namespace
+{
+
+// Peers that one round of gossip goes to.
+constexpr std::size_t gossip_fanout = 3;
+// A node passes each item on this many times, heartbeats not counted.
+constexpr std::uint32_t max_transmissions = 12;
+// Most items in one gossip message and in one heartbeat.
+constexpr std::size_t max_gossip_items = 64;
+constexpr std::size_t max_heartbeat_items = 8;
+// Items beyond this number are left to the comparison of views.
+constexpr std::size_t max_queued_items = 2048;
+// Bytes that gossip may send a second, and what it may save up.
+constexpr double gossip_bytes_per_second = 12'000;
+constexpr double gossip_burst_bytes = 60'000;
+// Size of a record in a message, for the allowance.
+constexpr double record_bytes = 90;
+
+// The items in the order in which they are sent: those of the own service
+// first, then the least spread.
+template <class Items>
+auto order_items(Items& items, std::string const& own_service)
+{
+    using item_type =
+        std::remove_reference_t<decltype((items.begin()->second))>;
+    std::vector<item_type*> ordered;
+    ordered.reserve(items.size());
+    for (auto& [address, item] : items)
+    {
+        ordered.push_back(&item);
+    }
+    auto const rank = [&own_service](item_type const* item)
+    {
+        bool const is_foreign = item->record.service != own_service;
+        return std::make_pair(is_foreign, item->transmissions);
+    };
+    std::stable_sort(ordered.begin(),
+                     ordered.end(),
+                     [&rank](item_type const* left, item_type const* right)
+                     { return rank(left) < rank(right); });
+    return ordered;
+}
+
+std::string own_service_of(state const& membership)
+{
+    return membership.self_record ? membership.self_record->service
+                                  : std::string();
+}
+
+void refill_allowance(state& membership, instant now)
+{
+    std::chrono::duration<double> const passed =
+        now - membership.gossip_refilled_at;
+    membership.gossip_refilled_at = now;
+    membership.gossip_allowance = std::min(
+        gossip_burst_bytes,
+        membership.gossip_allowance + passed.count() * gossip_bytes_per_second);
+}
+
+} // namespace
+
+void queue_news(state& membership, member_record const& record)
+{
+    membership.news[record.node.address] = news_item{record, 0};
+    if (membership.news.size() <= max_queued_items)
+    {
+        return;
+    }
+    auto const most_spread = std::max_element(
+        membership.news.begin(),
+        membership.news.end(),
+        [](auto const& left, auto const& right)
+        { return left.second.transmissions < right.second.transmissions; });
+    membership.news.erase(most_spread);
+}
+
+std::vector<member_record> heartbeat_news(state const& membership)
+{
+    std::vector<member_record> records;
+    for (news_item const* item :
+         order_items(membership.news, own_service_of(membership)))
+    {
+        if (records.size() == max_heartbeat_items)
+        {
+            break;
+        }
+        records.push_back(item->record);
+    }
+    return records;
+}
+
+bool learn(state& membership, member_record const& record, step& current)
+{
+    if (!merge_record(membership, record, current.now.monotonic))
+    {
+        return false;
+    }
+    queue_news(membership, record);
+    return true;
+}
+
+void gossip_round(state& membership, step& current)
+{
+    refill_allowance(membership, current.now.monotonic);
+    if (membership.news.empty())
+    {
+        return;
+    }
+    std::vector<std::string> const targets =
+        draw_peers(membership, gossip_fanout, current);
+    if (targets.empty())
+    {
+        return;
+    }
+    double const item_cost = record_bytes * static_cast<double>(targets.size());
+    auto const affordable = static_cast<std::size_t>(
+        std::max(0.0, membership.gossip_allowance / item_cost));
+    std::size_t const limit = std::min(max_gossip_items, affordable);
+    gossip round;
+    std::vector<std::string> finished;
+    for (news_item* item :
+         order_items(membership.news, own_service_of(membership)))
+    {
+        if (round.news.size() == limit)
+        {
+            break;
+        }
+        round.news.push_back(item->record);
+        item->transmissions += static_cast<std::uint32_t>(targets.size());
+        if (item->transmissions >= max_transmissions)
+        {
+            finished.push_back(item->record.node.address);
+        }
+    }
+    if (round.news.empty())
+    {
+        return;
+    }
+    membership.gossip_allowance -=
+        item_cost * static_cast<double>(round.news.size());
+    for (std::string const& address : targets)
+    {
+        send(address, round, current);
+    }
+    for (std::string const& address : finished)
+    {
+        membership.news.erase(address);
+    }
+}
+
+} // namespace plantaintally::membership
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -1,11 +1,16 @@
 // Which nodes there are, which upstream each has, and whether it takes work.
+//
+// A node keeps one record of every member. The members of a service form cells
+// that exchange heartbeats; what changes is spread by gossip and repaired by
+// comparing digests. See docs/MEMBERSHIP.md.
 #pragma once
 
 #include "membership/messages.hpp"
+#include "membership/state.hpp"
 #include "messages/request_types.hpp"
 #include "messages/step.hpp"
 
-#include <map>
+#include <cstddef>
 #include <optional>
 #include <span>
 #include <string>
@@ -15,26 +20,6 @@
 namespace plantaintally::membership
 {
 
-// What a node knows of itself from its settings.
-struct options
-{
-    node_id self;
-    std::string availability_zone;
-    // Peer addresses to contact first; may be empty, then contacts come from
-    // the platform's service.
-    std::vector<std::string> contacts;
-    duration heartbeat_interval = std::chrono::milliseconds(500);
-};
-
-// State of membership at this node; owned by the node's state.
-struct state
-{
-    options own;
-    // Records by service, in order of address; nodes that are gone are kept
-    // for a while so that old news doesn't revive them.
-    std::map<std::string, std::vector<member_record>, std::less<>> services;
-};
-
 void start(state& membership, step& current);
 // The upstream beside this node is ready: joins its service.
 void announce(state& membership,
@@ -48,6 +33,10 @@
 void announce_leaving(state& membership, step& current);
 // An answer of this node told that it is draining.
 void note_draining(state& membership, std::string_view address, step& current);
+// The revision of the configuration in force, to be told by heartbeats. Those
+// of others come in heartbeat::configuration_revision; hand them to
+// configuration::note_peer_revision.
+void note_configuration(state& membership, std::uint64_t revision);
 
 void handle_message(state& membership,
                     node_id const& sender,
@@ -60,13 +49,39 @@
 void handle_time(state& membership, step& current);
 std::optional<instant> next_deadline(state const& membership);
 
-// The members of a service that are not gone, in order of address.
+// The members of a service that are not gone, in order of address. Those with
+// status suspected may be gone already: prefer others.
 std::span<member_record const> members_of(state const& membership,
                                           std::string_view service);
+
+// What is known of a service's members.
+enum class service_knowledge
+{
+    // members_of has at least one.
+    known,
+    // Peers have been asked and their answers are awaited; ask again soon.
+    awaited,
+    // No peer that answered in time knows a member.
+    absent
+};
+
+// Tells whether members of the service are known; asks peers if they are not.
+// Members learned later raise view_version.
+service_knowledge
+request_service(state& membership, std::string_view service, step& current);
+
+// The record of the live member at this address, or nullptr.
+member_record const* find_member(state const& membership,
+                                 std::string_view address);
+// Counts the changes of the view: equal numbers, equal view.
+std::uint64_t view_version(state const& membership);
+// The number of live members known, this one included.
+std::size_t member_count(state const& membership);
 // Addresses of up to `count` random live nodes other than this one.
 std::vector<std::string>
 draw_peers(state const& membership, std::size_t count, step& current);
-// Every live node known, this one included, in order of address.
+// Every live node known, this one included, in order of address. Copies each
+// record: not for use on every request.
 std::vector<member_record> all_members(state const& membership);
 
 } // namespace plantaintally::membership
--- a/src/membership/messages.hpp
+++ b/src/membership/messages.hpp
@@ -33,32 +33,45 @@
     bool operator==(member_record const&) const = default;
 };
 
-// Sent to the members of the sender's cell at every heartbeat interval. The
-// digest lists the cell members that the sender heard in the last interval.
+// Sent to the members of the sender's cell at every heartbeat interval.
 struct heartbeat
 {
     std::uint64_t sequence = 0;
-    std::vector<std::string> heard;
+    // Digest: the short hashes (see short_hash) of the addresses that the
+    // sender itself heard in the last interval.
+    std::vector<std::uint32_t> heard;
     std::vector<member_record> news;
-    // Stable hash of everything that the sender knows of the fleet, and of its
-    // configuration revision.
+    // Stable hash of the records of the sender's own service.
     std::uint64_t view_hash = 0;
+    // The configuration revision in force at the sender.
     std::uint64_t configuration_revision = 0;
 
     bool operator==(heartbeat const&) const = default;
 };
 
-// News of members, passed on to a few peers.
+// Records of members: news to pass on, or the answer to a view_digest.
 struct gossip
 {
     std::vector<member_record> news;
+    // True if the records repair a difference and are not passed on as news.
+    bool is_repair = false;
 
     bool operator==(gossip const&) const = default;
 };
 
-// Anti-entropy: asks for the records of services whose hash differs.
+// Anti-entropy, in steps that each cost little while views agree:
+// - buckets only: the receiver answers with its own buckets and the services
+//   of those whose hash differs, and `is_reply` set;
+// - buckets with `is_reply`: the receiver asks for what differs and sends what
+//   the sender lacks;
+// - services only: the receiver sends its records of services whose hash
+//   differs, and its own hashes with `is_reply` set (zero: knows no member);
+// - services with `is_reply`: the receiver sends its records of those whose
+//   hash still differs.
 struct view_digest
 {
+    // One hash for each group of services, see bucket_of.
+    std::vector<std::uint64_t> bucket_hashes;
     std::vector<std::string> services;
     std::vector<std::uint64_t> hashes;
     bool is_reply = false;
