Silence two wrong warnings of g++ 12

Cause: -Wrestrict and -Wmaybe-uninitialized fire inside std::string and std::variant of libstdc++ 12 on correct code. Conclusion: kept until the compiler is newer.

--- a/tools/cmake/dependencies.cmake
+++ b/tools/cmake/dependencies.cmake
@@ -9,9 +9,9 @@
 add_library(plantaintally_options INTERFACE)
 target_compile_options(
     plantaintally_options
-    # g++ 12 reports -Wrestrict wrongly for std::string (GCC bug 105651).
+    # g++ 12 reports both wrongly, for std::string and std::variant.
     INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor
-              -Wno-restrict)
+              -Wno-restrict -Wno-maybe-uninitialized)
 target_compile_definitions(
     plantaintally_options
     INTERFACE BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_SEPARATE_COMPILATION
