Route, admit, dispatch and answer requests in one reducer

Cause: the node had no reducer yet, so that no driver could be linked against it. Change: the folders admission, routing, retry and lifecycle decide; node composes them with membership, configuration and once, one source file per step of a request's way.

--- /dev/null
+++ b/src/admission/concurrency_limit.hpp
@@ -0,0 +1,90 @@
+// How many requests may run at the upstream at the same time.
+#pragma once
+
+#include "base/moment.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace plantaintally::admission
+{
+
+// How a request that ran at the upstream ended, as far as it tells of load.
+enum class sample_kind
+{
+    completed,
+    // The upstream refused it because it is loaded.
+    refused,
+    timed_out,
+    // Ended for a reason that tells nothing of load.
+    ignored
+};
+
+// One request that has left the upstream.
+struct load_sample
+{
+    sample_kind kind = sample_kind::completed;
+    // Time at the upstream, and the part of it that was not spent waiting for
+    // downstream calls.
+    duration total{};
+    duration own{};
+};
+
+// Service times of one rank at the upstream.
+struct service_times
+{
+    // Low estimate of the own time at an unloaded upstream.
+    double baseline_us = 0;
+    // Moving mean of the whole time.
+    double mean_us = 0;
+};
+
+// The limit and what it is computed from. The limit is raised by a little when
+// it is fully used and own times are as at low load, and lowered at once by a
+// share when the upstream refuses or its own times grow.
+struct concurrency_limit
+{
+    double value = 1;
+    std::uint32_t slots = 1;
+    instant opened_at{};
+    duration cold_start{};
+    std::map<std::string, service_times, std::less<>> times;
+    double mean_us = 0;
+    // The window since the last change of the limit.
+    instant window_start{};
+    std::uint32_t samples = 0;
+    std::uint32_t refusals = 0;
+    double growth_sum = 0;
+    std::uint32_t most_in_flight = 0;
+};
+
+// A new upstream with this many slots, slow until `cold_start` has passed.
+void open_limit(concurrency_limit& limit,
+                std::uint32_t slots,
+                duration cold_start,
+                instant now);
+
+// The number of requests that may run now; at least one.
+std::uint32_t allowed(concurrency_limit const& limit, instant now);
+
+// Takes in a request that has left the upstream; `in_flight` counts it too.
+void note_sample(concurrency_limit& limit,
+                 std::string_view rank,
+                 load_sample const& sample,
+                 std::uint32_t in_flight,
+                 instant now);
+
+// The shortest time in which a request of the rank can be expected to be
+// served; zero if none was served yet.
+duration shortest_service(concurrency_limit const& limit,
+                          std::string_view rank);
+
+// The largest shortest_service of all ranks.
+duration longest_baseline(concurrency_limit const& limit);
+
+// Mean time of a request at the upstream; zero if none was served yet.
+duration mean_service(concurrency_limit const& limit);
+
+} // namespace plantaintally::admission
--- /dev/null
+++ b/src/admission/internal/concurrency_limit.cpp
@@ -0,0 +1,189 @@
+#include "admission/concurrency_limit.hpp"
+
+#include <algorithm>
+
+namespace plantaintally::admission
+{
+
+namespace
+{
+
+// Share of the slots open at the beginning of a cold start.
+constexpr double cold_start_share = 0.1;
+constexpr double min_limit_share = 0.05;
+constexpr double mean_weight = 0.1;
+// The baseline follows lower times quickly and higher ones slowly.
+constexpr double baseline_down_weight = 0.2;
+constexpr double baseline_up_weight = 0.002;
+// Own times above this multiple of the baseline are taken for overload.
+constexpr double tolerated_growth = 2.0;
+constexpr double max_counted_growth = 10.0;
+// Strongest cut of the limit by one window.
+constexpr double strongest_cut = 0.7;
+constexpr double growth_share = 0.05;
+// The limit counts as used up from this share on.
+constexpr double used_share = 0.8;
+constexpr std::uint32_t min_window_samples = 8;
+constexpr duration min_window = std::chrono::milliseconds(20);
+constexpr duration max_window = std::chrono::seconds(1);
+
+duration from_us(double microseconds)
+{
+    return duration(static_cast<duration::rep>(microseconds));
+}
+
+double blend(double old, double fresh, double weight)
+{
+    return old == 0 ? fresh : old + weight * (fresh - old);
+}
+
+void note_times(concurrency_limit& limit,
+                std::string_view rank,
+                load_sample const& sample)
+{
+    auto found = limit.times.find(rank);
+    if (found == limit.times.end())
+    {
+        found = limit.times.emplace(std::string(rank), service_times{}).first;
+    }
+    service_times& times = found->second;
+    auto const own =
+        static_cast<double>(std::max<duration::rep>(sample.own.count(), 1));
+    auto const total = static_cast<double>(sample.total.count());
+    double const weight =
+        own < times.baseline_us ? baseline_down_weight : baseline_up_weight;
+    times.baseline_us = blend(times.baseline_us, own, weight);
+    times.mean_us = blend(times.mean_us, total, mean_weight);
+    limit.mean_us = blend(limit.mean_us, total, mean_weight);
+    limit.growth_sum += std::min(own / times.baseline_us, max_counted_growth);
+}
+
+bool is_window_over(concurrency_limit const& limit, instant now)
+{
+    if (limit.samples < min_window_samples)
+    {
+        return false;
+    }
+    duration const length =
+        std::clamp(from_us(limit.mean_us), min_window, max_window);
+    return now - limit.window_start >= length;
+}
+
+double next_value(concurrency_limit const& limit)
+{
+    double const samples = limit.samples;
+    double const refused_share = limit.refusals / samples;
+    if (limit.refusals > 0)
+    {
+        double const kept = std::max(strongest_cut, 1.0 - refused_share);
+        return limit.value * kept;
+    }
+    double const growth = limit.growth_sum / samples;
+    if (growth > tolerated_growth)
+    {
+        return limit.value * std::max(strongest_cut, tolerated_growth / growth);
+    }
+    if (limit.most_in_flight >= used_share * limit.value)
+    {
+        return limit.value + std::max(1.0, growth_share * limit.value);
+    }
+    return limit.value;
+}
+
+void restart_window(concurrency_limit& limit, instant now)
+{
+    limit.window_start = now;
+    limit.samples = 0;
+    limit.refusals = 0;
+    limit.growth_sum = 0;
+    limit.most_in_flight = 0;
+}
+
+} // namespace
+
+void open_limit(concurrency_limit& limit,
+                std::uint32_t slots,
+                duration cold_start,
+                instant now)
+{
+    limit = concurrency_limit{};
+    limit.slots = std::max(slots, 1U);
+    limit.value = limit.slots;
+    limit.opened_at = now;
+    limit.cold_start = cold_start;
+    limit.window_start = now;
+}
+
+std::uint32_t allowed(concurrency_limit const& limit, instant now)
+{
+    double ramp = limit.slots;
+    duration const age = now - limit.opened_at;
+    if (age < limit.cold_start)
+    {
+        double const progress = static_cast<double>(age.count()) /
+                                static_cast<double>(limit.cold_start.count());
+        ramp *= cold_start_share + (1.0 - cold_start_share) * progress;
+    }
+    double const bound = std::min(ramp, limit.value);
+    return std::max(1U, static_cast<std::uint32_t>(bound));
+}
+
+void note_sample(concurrency_limit& limit,
+                 std::string_view rank,
+                 load_sample const& sample,
+                 std::uint32_t in_flight,
+                 instant now)
+{
+    if (sample.kind == sample_kind::ignored)
+    {
+        return;
+    }
+    ++limit.samples;
+    limit.most_in_flight = std::max(limit.most_in_flight, in_flight);
+    if (sample.kind == sample_kind::refused)
+    {
+        ++limit.refusals;
+    }
+    else if (sample.kind == sample_kind::timed_out)
+    {
+        limit.growth_sum += max_counted_growth;
+    }
+    else
+    {
+        note_times(limit, rank, sample);
+    }
+    if (!is_window_over(limit, now))
+    {
+        return;
+    }
+    double const least = std::max(1.0, min_limit_share * limit.slots);
+    limit.value = std::clamp<double>(next_value(limit), least, limit.slots);
+    restart_window(limit, now);
+}
+
+duration shortest_service(concurrency_limit const& limit, std::string_view rank)
+{
+    auto const found = limit.times.find(rank);
+    if (found == limit.times.end())
+    {
+        return duration::zero();
+    }
+    return from_us(found->second.baseline_us);
+}
+
+duration longest_baseline(concurrency_limit const& limit)
+{
+    double longest = 0;
+    for (auto const& [rank, times] : limit.times)
+    {
+        longest = std::max(longest, times.baseline_us);
+    }
+    return from_us(longest);
+}
+
+duration mean_service(concurrency_limit const& limit)
+{
+    return from_us(limit.mean_us);
+}
+
+} // namespace plantaintally::admission
--- /dev/null
+++ b/src/admission/internal/offer.cpp
@@ -0,0 +1,147 @@
+#include "admission/admission.hpp"
+#include "admission/internal/overload.hpp"
+
+#include <algorithm>
+
+namespace plantaintally::admission
+{
+
+namespace
+{
+
+constexpr std::size_t min_queue_limit = 16;
+
+std::size_t queue_limit(state const& admission)
+{
+    std::size_t const by_slots =
+        static_cast<std::size_t>(admission.limit.slots) *
+        admission.own.queued_per_slot;
+    return std::max(by_slots, min_queue_limit);
+}
+
+// True if a slot is free and nothing waits for it.
+bool can_run_now(state const& admission, instant now)
+{
+    return admission.queued == 0 &&
+           admission.in_flight < allowed(admission.limit, now);
+}
+
+// The reason why waiting is no use, if there is one.
+std::optional<refusal> reason_not_to_wait(state const& admission,
+                                          rank_queue const& queue,
+                                          work const& item,
+                                          instant now)
+{
+    duration const wait = estimated_wait(admission, queue, now);
+    duration const service = shortest_service(admission.limit, item.rank);
+    if (now + wait + service > item.deadline)
+    {
+        return refusal::overload;
+    }
+    if (queue.size < queue_limit(admission))
+    {
+        return std::nullopt;
+    }
+    std::size_t const fair_share = queue.size / (queue.callers.size() + 1);
+    if (waiting_of(queue, item.caller) >= fair_share)
+    {
+        return refusal::queue_full;
+    }
+    return std::nullopt;
+}
+
+// Makes room in a full queue at the cost of the caller with the most waiting
+// requests.
+void make_room(state& admission, rank_queue& queue, offer_result& result)
+{
+    if (queue.size < queue_limit(admission))
+    {
+        return;
+    }
+    std::optional<work> dropped = pop_from_longest(queue);
+    if (dropped)
+    {
+        --admission.queued;
+        note_decision(queue, false);
+        result.shed.push_back(
+            refused_work{std::move(*dropped), refusal::queue_full});
+    }
+}
+
+offer_result refuse(state const& admission,
+                    refusal reason,
+                    std::vector<refused_work> shed,
+                    instant now)
+{
+    offer_result result;
+    result.kind = offer_kind::refused;
+    result.reason = reason;
+    result.retry_after = suggested_wait(admission, now);
+    result.shed = std::move(shed);
+    return result;
+}
+
+offer_result
+enqueue(state& admission, rank_queue& queue, work item, offer_result result)
+{
+    admission.earliest_deadline =
+        std::min(admission.earliest_deadline, item.deadline);
+    push(queue, std::move(item));
+    ++admission.queued;
+    result.kind = offer_kind::queued;
+    return result;
+}
+
+// Refuses a request for overload. Before a protected one is refused, every
+// waiting unprotected one is shed, and the request is weighed once more.
+offer_result
+offer_when_loaded(state& admission, rank_queue& queue, work item, instant now)
+{
+    offer_result result;
+    auto reason = reason_not_to_wait(admission, queue, item, now);
+    bool const drops_other = !reason && queue.size >= queue_limit(admission);
+    if (item.is_protected && (reason || drops_other))
+    {
+        close_unprotected(admission, now, result.shed);
+        reason = reason_not_to_wait(admission, queue, item, now);
+    }
+    if (reason)
+    {
+        note_decision(queue, false);
+        return refuse(admission, *reason, std::move(result.shed), now);
+    }
+    make_room(admission, queue, result);
+    note_decision(queue, true);
+    return enqueue(admission, queue, std::move(item), std::move(result));
+}
+
+} // namespace
+
+offer_result offer(state& admission, work item, instant now)
+{
+    item.queued_at = now;
+    rank_queue& queue = queue_of(admission, item);
+    if (!admission.is_open)
+    {
+        return refuse(admission, refusal::no_upstream, {}, now);
+    }
+    duration const service = shortest_service(admission.limit, item.rank);
+    if (now + service > item.deadline && admission.in_flight > 0)
+    {
+        return refuse(admission, refusal::deadline_unreachable, {}, now);
+    }
+    if (!item.is_protected && is_unprotected_closed(admission, now))
+    {
+        note_decision(queue, false);
+        return refuse(admission, refusal::overload, {}, now);
+    }
+    if (can_run_now(admission, now))
+    {
+        note_decision(queue, true);
+        ++admission.in_flight;
+        return offer_result{offer_kind::admitted, {}, {}, {}};
+    }
+    return offer_when_loaded(admission, queue, std::move(item), now);
+}
+
+} // namespace plantaintally::admission
--- /dev/null
+++ b/src/admission/internal/overload.cpp
@@ -0,0 +1,130 @@
+#include "admission/internal/overload.hpp"
+
+#include <algorithm>
+
+namespace plantaintally::admission
+{
+
+namespace
+{
+
+// Weight of the newest decision in the moving share of accepted requests.
+constexpr double decision_weight = 0.05;
+// Hysteresis of the level: a rank is closed when nearly none of its requests
+// is accepted, and open again when a fair part is.
+constexpr double close_below = 0.1;
+constexpr double open_above = 0.3;
+
+double worth_of_waiting(state const& admission, rank_queue const& asked)
+{
+    double sum = asked.worth;
+    for (auto const& [rank, queue] : admission.queues)
+    {
+        bool const counts = queue.size > 0 && &queue != &asked;
+        sum += counts ? queue.worth : 0;
+    }
+    return sum;
+}
+
+std::size_t waiting_before(state const& admission, rank_queue const& asked)
+{
+    std::size_t before = asked.size;
+    for (auto const& [rank, queue] : admission.queues)
+    {
+        bool const is_sooner = queue.urgency > asked.urgency;
+        before += is_sooner ? queue.size : 0;
+    }
+    return before;
+}
+
+bool has_waiting_below(state const& admission, rank_queue const& asked)
+{
+    return std::ranges::any_of(admission.queues,
+                               [&](auto const& entry)
+                               {
+                                   rank_queue const& queue = entry.second;
+                                   return queue.size > 0 &&
+                                          queue.urgency < asked.urgency;
+                               });
+}
+
+} // namespace
+
+bool is_unprotected_closed(state const& admission, instant now)
+{
+    return now < admission.unprotected_closed_until;
+}
+
+void close_unprotected(state& admission,
+                       instant now,
+                       std::vector<refused_work>& shed)
+{
+    admission.unprotected_closed_until = now + admission.own.protected_hold;
+    for (auto& [rank, queue] : admission.queues)
+    {
+        if (queue.is_protected)
+        {
+            continue;
+        }
+        admission.queued -= queue.size;
+        for (work& item : take_all(queue))
+        {
+            note_decision(queue, false);
+            shed.push_back(refused_work{std::move(item), refusal::overload});
+        }
+    }
+}
+
+rank_queue& queue_of(state& admission, work const& item)
+{
+    auto found = admission.queues.find(item.rank);
+    if (found == admission.queues.end())
+    {
+        found = admission.queues.emplace(item.rank, rank_queue{}).first;
+    }
+    rank_queue& queue = found->second;
+    queue.urgency = item.urgency;
+    queue.worth = std::max(item.worth, 1U);
+    queue.is_protected = item.is_protected;
+    return queue;
+}
+
+void note_decision(rank_queue& queue, bool is_accepted)
+{
+    double const fresh = is_accepted ? 1.0 : 0.0;
+    queue.accepted_share += decision_weight * (fresh - queue.accepted_share);
+    if (queue.accepted_share < close_below)
+    {
+        queue.is_closed = true;
+    }
+    if (queue.accepted_share > open_above)
+    {
+        queue.is_closed = false;
+    }
+}
+
+duration
+estimated_wait(state const& admission, rank_queue const& queue, instant now)
+{
+    std::uint32_t const slots = allowed(admission.limit, now);
+    double const mean_us =
+        static_cast<double>(mean_service(admission.limit).count());
+    if (admission.in_flight < slots || mean_us == 0)
+    {
+        return duration::zero();
+    }
+    double const served_per_us = slots / mean_us;
+    double const shared = admission.own.shared_fraction;
+    double const free_share =
+        has_waiting_below(admission, queue) ? 1.0 - shared : 1.0;
+    double const before =
+        static_cast<double>(waiting_before(admission, queue)) + 1;
+    double const by_urgency = before / (served_per_us * free_share);
+    double const kept_share =
+        shared * queue.worth / worth_of_waiting(admission, queue);
+    double const own_waiting = static_cast<double>(queue.size) + 1;
+    double const by_share = own_waiting / (served_per_us * kept_share);
+    return duration(static_cast<duration::rep>(std::min(by_urgency, by_share)));
+}
+
+} // namespace plantaintally::admission
--- /dev/null
+++ b/src/lifecycle/internal/lifecycle.cpp
@@ -0,0 +1,92 @@
+#include "lifecycle/lifecycle.hpp"
+
+namespace plantaintally::lifecycle
+{
+
+namespace
+{
+
+transition compare(bool was_open, state const& lifecycle)
+{
+    bool const is_open = takes_work(lifecycle);
+    if (was_open == is_open)
+    {
+        return transition::none;
+    }
+    return is_open ? transition::opened : transition::drained;
+}
+
+} // namespace
+
+bool takes_work(state const& lifecycle)
+{
+    return lifecycle.upstream && !lifecycle.is_drained_by_upstream &&
+           !lifecycle.is_drained_by_operator && !lifecycle.is_stopping;
+}
+
+transition announce(state& lifecycle, upstream_announcement const& announced)
+{
+    bool const was_open = takes_work(lifecycle);
+    lifecycle.upstream = announced;
+    lifecycle.is_drained_by_upstream = false;
+    return compare(was_open, lifecycle);
+}
+
+transition drain_by_upstream(state& lifecycle)
+{
+    bool const was_open = takes_work(lifecycle);
+    lifecycle.is_drained_by_upstream = true;
+    return compare(was_open, lifecycle);
+}
+
+transition set_drain_by_operator(state& lifecycle, bool is_drained)
+{
+    bool const was_open = takes_work(lifecycle);
+    lifecycle.is_drained_by_operator = is_drained;
+    return compare(was_open, lifecycle);
+}
+
+transition remove_upstream(state& lifecycle)
+{
+    bool const was_open = takes_work(lifecycle);
+    lifecycle.upstream.reset();
+    return compare(was_open, lifecycle);
+}
+
+transition stop(state& lifecycle, duration limit, instant now)
+{
+    if (lifecycle.is_stopping)
+    {
+        return transition::none;
+    }
+    bool const was_open = takes_work(lifecycle);
+    lifecycle.is_stopping = true;
+    lifecycle.stop_deadline = now + limit;
+    return compare(was_open, lifecycle);
+}
+
+bool ask_exit(state& lifecycle, open_work const& left, instant now)
+{
+    if (!lifecycle.is_stopping || lifecycle.is_exit_asked)
+    {
+        return false;
+    }
+    bool const is_done = !left.has_exchanges && left.are_keys_handed_over;
+    if (!is_done && now < lifecycle.stop_deadline)
+    {
+        return false;
+    }
+    lifecycle.is_exit_asked = true;
+    return true;
+}
+
+std::optional<instant> next_deadline(state const& lifecycle)
+{
+    if (!lifecycle.is_stopping || lifecycle.is_exit_asked)
+    {
+        return std::nullopt;
+    }
+    return lifecycle.stop_deadline;
+}
+
+} // namespace plantaintally::lifecycle
--- /dev/null
+++ b/src/lifecycle/lifecycle.hpp
@@ -0,0 +1,62 @@
+// From the start of a node over drains to its planned stop.
+#pragma once
+
+#include "base/moment.hpp"
+#include "messages/request_types.hpp"
+
+#include <optional>
+
+namespace plantaintally::lifecycle
+{
+
+struct state
+{
+    std::optional<upstream_announcement> upstream;
+    bool is_drained_by_upstream = false;
+    bool is_drained_by_operator = false;
+    bool is_stopping = false;
+    // The stop ends at this time even if requests are still in flight.
+    instant stop_deadline = instant::max();
+    bool is_exit_asked = false;
+};
+
+// What a change of the life cycle means for the other parts.
+enum class transition
+{
+    none,
+    // The upstream was taking work and takes no more.
+    drained,
+    // The upstream takes work again, or for the first time.
+    opened
+};
+
+// True if the upstream beside this node takes new work.
+bool takes_work(state const& lifecycle);
+
+// The upstream has announced itself; repeated announcements change nothing,
+// one after a drain by the upstream ends the drain.
+transition announce(state& lifecycle, upstream_announcement const& announced);
+
+transition drain_by_upstream(state& lifecycle);
+transition set_drain_by_operator(state& lifecycle, bool is_drained);
+
+// The upstream has stopped.
+transition remove_upstream(state& lifecycle);
+
+// A planned stop; a second request changes nothing.
+transition stop(state& lifecycle, duration limit, instant now);
+
+// What a stopping node still has to do.
+struct open_work
+{
+    bool has_exchanges = false;
+    bool are_keys_handed_over = false;
+};
+
+// True once, when the process is to end.
+bool ask_exit(state& lifecycle, open_work const& left, instant now);
+
+// When the stop ends at the latest.
+std::optional<instant> next_deadline(state const& lifecycle);
+
+} // namespace plantaintally::lifecycle
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -1,11 +1,18 @@
 // The whole state of a node, owned in one place.
 #pragma once
 
+#include "admission/admission.hpp"
 #include "base/random.hpp"
 #include "configuration/configuration.hpp"
+#include "lifecycle/lifecycle.hpp"
 #include "membership/membership.hpp"
+#include "messages/events.hpp"
 #include "messages/step.hpp"
+#include "node/counters.hpp"
+#include "node/exchange.hpp"
 #include "once/once.hpp"
+#include "retry/policy.hpp"
+#include "routing/routing.hpp"
 
 #include <string>
 #include <vector>
@@ -38,6 +45,22 @@
     membership::state membership;
     configuration::state configuration;
     once::state once;
+    lifecycle::state lifecycle;
+    admission::state admission;
+    routing::state routing;
+    retry::state retries;
+    exchange_table table;
+    counters counted;
+    // The service of the own upstream, also after the upstream has gone.
+    std::string own_service;
+    // The members of the own service that the at-most-once protocol knows.
+    std::vector<membership::member_record> known_members;
+    // The newest word of the upstream's health endpoint; decides nothing.
+    health_hint health;
+    bool is_started = false;
+    bool is_upstream_told_to_drain = false;
+    // The time last asked for with wake_at.
+    instant asked_wake = instant::max();
 };
 
 // A node that has seen no event yet.
--- /dev/null
+++ b/src/routing/internal/choose.cpp
@@ -0,0 +1,245 @@
+#include "routing/routing.hpp"
+
+#include <algorithm>
+
+namespace plantaintally::routing
+{
+
+namespace
+{
+
+// A member of the own zone above this load competes with the other zones.
+constexpr std::uint32_t spill_over_permille = 800;
+// Load that one request of this node in flight stands for, at one slot.
+constexpr std::uint32_t permille_per_slot = 1000;
+// After this time a load report counts for nothing.
+constexpr duration load_lifetime = std::chrono::seconds(2);
+constexpr duration probe_interval = std::chrono::milliseconds(100);
+constexpr double probe_jitter = 0.5;
+
+using member_list = std::vector<membership::member_record const*>;
+
+peer_view const* find_view(state const& routing, std::string_view address)
+{
+    auto const found = routing.peers.find(address);
+    return found == routing.peers.end() ? nullptr : &found->second;
+}
+
+bool takes_work(state const& routing,
+                membership::member_record const& member,
+                instant now)
+{
+    if (member.status == membership::member_status::draining ||
+        member.status == membership::member_status::gone)
+    {
+        return false;
+    }
+    peer_view const* view = find_view(routing, member.node.address);
+    return view == nullptr || view->draining_until <= now;
+}
+
+bool is_closed(peer_view const& view, query const& asked)
+{
+    auto const found = view.levels.find(asked.rank);
+    if (found == view.levels.end() || found->second.expires <= asked.now)
+    {
+        return false;
+    }
+    return found->second.level > asked.urgency;
+}
+
+bool was_tried(query const& asked, std::string const& address)
+{
+    return std::ranges::find(asked.tried, address) != asked.tried.end();
+}
+
+// Keeps the members that fulfil the condition, unless none does.
+template <class Condition>
+void prefer(member_list& members, Condition const& condition)
+{
+    member_list kept;
+    std::ranges::copy_if(members, std::back_inserter(kept), condition);
+    if (!kept.empty())
+    {
+        members = std::move(kept);
+    }
+}
+
+member_list usable_members(state const& routing,
+                           std::span<membership::member_record const> members,
+                           query const& asked)
+{
+    member_list usable;
+    for (membership::member_record const& member : members)
+    {
+        if (member.node.address != asked.excluded &&
+            takes_work(routing, member, asked.now))
+        {
+            usable.push_back(&member);
+        }
+    }
+    prefer(usable,
+           [](auto const* member)
+           { return member->status == membership::member_status::alive; });
+    prefer(usable,
+           [&](auto const* member)
+           { return !is_ejected(routing, member->node.address, asked.now); });
+    return usable;
+}
+
+std::uint32_t score(state const& routing,
+                    membership::member_record const& member,
+                    instant now)
+{
+    peer_view const* view = find_view(routing, member.node.address);
+    if (view == nullptr)
+    {
+        return 0;
+    }
+    std::uint32_t const slots = std::max(member.slots, 1U);
+    std::uint32_t const own = view->in_flight * permille_per_slot / slots;
+    bool const is_fresh = view->load_seen + load_lifetime > now;
+    return own + (is_fresh ? view->load_permille : 0);
+}
+
+membership::member_record const* less_loaded(state const& routing,
+                                             member_list const& members,
+                                             instant now,
+                                             random_source& random)
+{
+    if (members.empty())
+    {
+        return nullptr;
+    }
+    auto const* first = members[draw_below(random, members.size())];
+    auto const* second = members[draw_below(random, members.size())];
+    if (score(routing, *second, now) < score(routing, *first, now))
+    {
+        return second;
+    }
+    return first;
+}
+
+membership::member_record const* choose_by_zone(state const& routing,
+                                                member_list const& members,
+                                                query const& asked,
+                                                random_source& random)
+{
+    member_list near;
+    member_list far;
+    for (auto const* member : members)
+    {
+        bool const is_near =
+            member->availability_zone == asked.availability_zone;
+        (is_near ? near : far).push_back(member);
+    }
+    auto const* best = less_loaded(routing, near, asked.now, random);
+    if (best != nullptr &&
+        score(routing, *best, asked.now) < spill_over_permille)
+    {
+        return best;
+    }
+    auto const* other = less_loaded(routing, far, asked.now, random);
+    if (best == nullptr || other == nullptr)
+    {
+        return best == nullptr ? other : best;
+    }
+    bool const is_farther_better =
+        score(routing, *other, asked.now) < score(routing, *best, asked.now);
+    return is_farther_better ? other : best;
+}
+
+// A closed member whose turn it is to be asked again, or nullptr.
+membership::member_record const* due_probe(state& routing,
+                                           member_list const& closed,
+                                           query const& asked,
+                                           random_source& random)
+{
+    for (auto const* member : closed)
+    {
+        auto& levels = routing.peers.find(member->node.address)->second.levels;
+        admission_report& level = levels.find(asked.rank)->second;
+        if (level.next_probe <= asked.now)
+        {
+            level.next_probe =
+                asked.now + draw_jittered(random, probe_interval, probe_jitter);
+            return member;
+        }
+    }
+    return nullptr;
+}
+
+// An ejected node whose time is over gets one request to prove itself.
+void mark_trial(state& routing, std::string const& address)
+{
+    auto const found = routing.peers.find(address);
+    if (found != routing.peers.end() && found->second.is_ejected)
+    {
+        found->second.has_trial = true;
+    }
+}
+
+} // namespace
+
+route choose(state& routing,
+             std::span<membership::member_record const> members,
+             query const& asked,
+             random_source& random)
+{
+    member_list usable = usable_members(routing, members, asked);
+    if (usable.empty())
+    {
+        return {};
+    }
+    member_list open;
+    member_list closed;
+    for (auto const* member : usable)
+    {
+        peer_view const* view = find_view(routing, member->node.address);
+        bool const is_shut = view != nullptr && is_closed(*view, asked);
+        (is_shut ? closed : open).push_back(member);
+    }
+    auto const* probed = due_probe(routing, closed, asked, random);
+    if (probed != nullptr)
+    {
+        return route{route_kind::found, probed->node.address, true};
+    }
+    if (open.empty())
+    {
+        return route{route_kind::shed, {}, false};
+    }
+    prefer(open,
+           [&](auto const* member)
+           { return !was_tried(asked, member->node.address); });
+    auto const* chosen = choose_by_zone(routing, open, asked, random);
+    mark_trial(routing, chosen->node.address);
+    return route{route_kind::found, chosen->node.address, false};
+}
+
+std::uint32_t lowest_level(state const& routing,
+                           std::span<membership::member_record const> members,
+                           std::string_view rank,
+                           instant now)
+{
+    std::optional<std::uint32_t> lowest;
+    for (membership::member_record const& member : members)
+    {
+        if (!takes_work(routing, member, now))
+        {
+            continue;
+        }
+        peer_view const* view = find_view(routing, member.node.address);
+        if (view == nullptr)
+        {
+            return 0;
+        }
+        auto const found = view->levels.find(rank);
+        bool const is_known =
+            found != view->levels.end() && found->second.expires > now;
+        std::uint32_t const level = is_known ? found->second.level : 0;
+        lowest = std::min(lowest.value_or(level), level);
+    }
+    return lowest.value_or(0);
+}
+
+} // namespace plantaintally::routing
--- /dev/null
+++ b/src/routing/tests/routing_test.cpp
@@ -0,0 +1,162 @@
+#include "routing/routing.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plantaintally;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+membership::member_record
+member(std::string address, std::string zone, std::uint32_t slots = 10)
+{
+    membership::member_record record;
+    record.node.address = std::move(address);
+    record.availability_zone = std::move(zone);
+    record.slots = slots;
+    return record;
+}
+
+std::vector<membership::member_record> three_zones()
+{
+    return {member("a:1", "z1"), member("b:1", "z2"), member("c:1", "z3")};
+}
+
+routing::query from_zone(std::string_view zone, instant now)
+{
+    routing::query asked;
+    asked.rank = "browsing";
+    asked.urgency = 10;
+    asked.availability_zone = zone;
+    asked.now = now;
+    return asked;
+}
+
+hop_report closed_report()
+{
+    hop_report report;
+    report.admission_level = 11;
+    return report;
+}
+
+} // namespace
+
+TEST_CASE("the own zone is preferred until it is loaded")
+{
+    routing::state peers;
+    random_source random(3);
+    auto const members = three_zones();
+    instant const now{1s};
+    CHECK(
+        routing::choose(peers, members, from_zone("z1", now), random).address ==
+        "a:1");
+    hop_report loaded;
+    loaded.load_permille = 1500;
+    routing::note_report(peers, "a:1", "browsing", loaded, random, now);
+    CHECK(
+        routing::choose(peers, members, from_zone("z1", now), random).address !=
+        "a:1");
+}
+
+TEST_CASE("a node that answers that it drains gets nothing from then on")
+{
+    routing::state peers;
+    random_source random(3);
+    auto const members = three_zones();
+    hop_report draining;
+    draining.is_draining = true;
+    instant const now{1s};
+    routing::note_report(peers, "a:1", "browsing", draining, random, now);
+    for (int index = 0; index < 50; ++index)
+    {
+        auto const chosen =
+            routing::choose(peers, members, from_zone("z1", now), random);
+        CHECK(chosen.address != "a:1");
+    }
+}
+
+TEST_CASE("failures eject a member, but only one in three")
+{
+    routing::state peers;
+    random_source random(3);
+    auto const members = three_zones();
+    instant const now{1s};
+    for (int index = 0; index < 20; ++index)
+    {
+        for (auto const& each : members)
+        {
+            routing::note_failure(
+                peers, each.node.address, members, random, now);
+        }
+    }
+    int ejected = 0;
+    for (auto const& each : members)
+    {
+        ejected += routing::is_ejected(peers, each.node.address, now) ? 1 : 0;
+    }
+    CHECK(ejected == 1);
+}
+
+TEST_CASE("an ejected member returns by one trial request")
+{
+    routing::state peers;
+    random_source random(3);
+    std::vector<membership::member_record> const members{member("a:1", "z1"),
+                                                         member("b:1", "z2")};
+    instant const now{1s};
+    for (int index = 0; index < 5; ++index)
+    {
+        routing::note_failure(peers, "a:1", members, random, now);
+    }
+    REQUIRE(routing::is_ejected(peers, "a:1", now));
+    instant const later = now + 10s;
+    auto const trial =
+        routing::choose(peers, members, from_zone("z1", later), random);
+    CHECK(trial.address == "a:1");
+    auto const second =
+        routing::choose(peers, members, from_zone("z1", later), random);
+    CHECK(second.address == "b:1");
+    routing::note_report(peers, "a:1", "browsing", {}, random, later);
+    auto const third =
+        routing::choose(peers, members, from_zone("z1", later), random);
+    CHECK(third.address == "a:1");
+}
+
+TEST_CASE("a rank that no member admits is shed but for probes")
+{
+    routing::state peers;
+    random_source random(3);
+    auto const members = three_zones();
+    instant const now{1s};
+    for (auto const& each : members)
+    {
+        routing::note_report(
+            peers, each.node.address, "browsing", closed_report(), random, now);
+    }
+    auto asked = from_zone("z1", now);
+    CHECK(routing::choose(peers, members, asked, random).kind ==
+          routing::route_kind::shed);
+    asked.now = now + 200ms;
+    auto const probe = routing::choose(peers, members, asked, random);
+    CHECK(probe.kind == routing::route_kind::found);
+    CHECK(probe.is_probe);
+    asked.now = now + 2s;
+    CHECK_FALSE(routing::choose(peers, members, asked, random).is_probe);
+}
+
+TEST_CASE("the level of a service is that of its most open member")
+{
+    routing::state peers;
+    random_source random(3);
+    auto const members = three_zones();
+    instant const now{1s};
+    routing::note_report(
+        peers, "a:1", "browsing", closed_report(), random, now);
+    CHECK(routing::lowest_level(peers, members, "browsing", now) == 0);
+    routing::note_report(
+        peers, "b:1", "browsing", closed_report(), random, now);
+    routing::note_report(
+        peers, "c:1", "browsing", closed_report(), random, now);
+    CHECK(routing::lowest_level(peers, members, "browsing", now) == 11);
+}
