--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -26,6 +26,13 @@
 
     void operator()(membership::message const& received) const
     {
+        if (auto const* beat = std::get_if<membership::heartbeat>(&received))
+        {
+            configuration::note_peer_revision(this->node.configuration,
+                                              this->sender.address,
+                                              beat->configuration_revision,
+                                              this->current);
+        }
         membership::handle_message(
             this->node.membership, this->sender, received, this->current);
     }
@@ -218,7 +225,7 @@
     step current{now, node.random, node.ids, node.clock, out};
     start_once(node, current);
     std::visit(event_visitor{node, current}, happened);
-    follow_operator_drain(node, current);
+    follow_configuration(node, current);
     follow_members(node, current);
     handle_resolved_claims(node, current);
     serve_queue(node, current);
--- a/src/node/internal/request_path.hpp
+++ b/src/node/internal/request_path.hpp
@@ -112,7 +112,7 @@
 void handle_drain(state& node, step& current);
 void handle_upstream_gone(state& node, step& current);
 void handle_stop(state& node, step& current);
-void follow_operator_drain(state& node, step& current);
+void follow_configuration(state& node, step& current);
 void follow_members(state& node, step& current);
 void finish_stop(state& node, step& current);
 
--- a/src/node/internal/route.cpp
+++ b/src/node/internal/route.cpp
@@ -14,6 +14,8 @@
 // next one's truth about the end of the request arrives in time.
 constexpr duration max_hop_margin = std::chrono::milliseconds(10);
 constexpr int hop_margin_divisor = 20;
+// Time between two looks for the members of a service that were asked for.
+constexpr duration members_check_interval = std::chrono::milliseconds(20);
 
 duration hop_margin(duration left)
 {
@@ -73,6 +75,21 @@
     forward(node, item, home, current);
 }
 
+// The members of a service that was not called before have to be asked for.
+bool await_members(state& node, exchange& item, step& current)
+{
+    auto const knowledge = membership::request_service(
+        node.membership, item.head.service, current);
+    if (knowledge != membership::service_knowledge::awaited)
+    {
+        return false;
+    }
+    item.phase = exchange_phase::backing_off;
+    instant const next = current.now.monotonic + members_check_interval;
+    set_timer(node.table, item, std::min(next, item.deadline));
+    return true;
+}
+
 void refuse_unrouted(state& node,
                      exchange& item,
                      routing::route_kind kind,
@@ -112,6 +129,10 @@
     {
         retry::note_request(node.retries, item.head.service);
     }
+    if (await_members(node, item, current))
+    {
+        return;
+    }
     if (is_keyed(item))
     {
         return route_to_home(node, item, current);
--- a/src/node/internal/upstream.cpp
+++ b/src/node/internal/upstream.cpp
@@ -112,8 +112,10 @@
     once::hand_over(node.once, current);
 }
 
-void follow_operator_drain(state& node, step& current)
+void follow_configuration(state& node, step& current)
 {
+    membership::note_configuration(
+        node.membership, configuration::current(node.configuration).revision);
     bool const is_drained = is_drained_by_operator(node);
     if (is_drained == node.lifecycle.is_drained_by_operator)
     {
@@ -127,10 +129,12 @@
 
 void follow_members(state& node, step& current)
 {
-    if (node.own_service.empty())
+    std::uint64_t const version = membership::view_version(node.membership);
+    if (node.own_service.empty() || version == node.known_view_version)
     {
         return;
     }
+    node.known_view_version = version;
     auto const members =
         membership::members_of(node.membership, node.own_service);
     if (std::ranges::equal(members, node.known_members))
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -55,6 +55,7 @@
     std::string own_service;
     // The members of the own service that the at-most-once protocol knows.
     std::vector<membership::member_record> known_members;
+    std::uint64_t known_view_version = 0;
     // The newest word of the upstream's health endpoint; decides nothing.
     health_hint health;
     bool is_started = false;
