Divide the at-most-once protocol into epochs, vouches, claims, hand-over

Cause: a single epoch cannot tell a key's history once members change. A node now needs its store calls answered and one vouch lifetime after its start before it accepts a key.

--- /dev/null
+++ b/src/once/internal/proposal.cpp
@@ -0,0 +1,326 @@
+#include "once/internal/proposal.hpp"
+
+#include "once/internal/epoch_book.hpp"
+#include "once/internal/epoch_text.hpp"
+
+#include <algorithm>
+
+namespace plantaintally::once
+{
+
+namespace
+{
+
+// Later candidates propose only if the earlier ones didn't.
+constexpr duration candidate_interval = std::chrono::seconds(2);
+constexpr double proposal_jitter = 0.2;
+// Peers are asked this often for a newer document before the store is.
+constexpr std::uint32_t peer_fetches = 3;
+constexpr duration fetch_interval = std::chrono::milliseconds(400);
+constexpr duration store_backoff = std::chrono::seconds(1);
+constexpr std::uint32_t longest_backoff_factor = 16;
+// Vouchers that may be lost before the epoch is changed for their sake.
+constexpr std::size_t tolerated_lost_vouchers = 1;
+
+bool has_enough_vouchers(epoch const& newest,
+                         std::vector<node_id> const& wanted)
+{
+    auto const is_wanted = [&wanted](node_id const& voucher)
+    {
+        return std::ranges::find(wanted, voucher) != wanted.end();
+    };
+    auto const kept = static_cast<std::size_t>(
+        std::ranges::count_if(newest.vouchers, is_wanted));
+    if (wanted.size() < voucher_count || newest.vouchers.size() < voucher_count)
+    {
+        return newest.vouchers == wanted;
+    }
+    return kept + tolerated_lost_vouchers >= newest.vouchers.size();
+}
+
+bool is_change_wanted(cell_state const& cell)
+{
+    if (cell.wanted_members.empty() || cell.wanted_vouchers.empty())
+    {
+        return false;
+    }
+    epoch_progress const* newest = newest_epoch(cell);
+    return newest == nullptr ||
+           newest->content.members != cell.wanted_members ||
+           !has_enough_vouchers(newest->content, cell.wanted_vouchers);
+}
+
+// Place of this node among those that may propose: the members wanted, in
+// order of address.
+std::optional<std::size_t> candidate_rank(state const& once,
+                                          cell_state const& cell)
+{
+    auto const found = std::ranges::find(cell.wanted_members, once.own.self);
+    if (found == cell.wanted_members.end())
+    {
+        return std::nullopt;
+    }
+    return static_cast<std::size_t>(found - cell.wanted_members.begin());
+}
+
+// The unretired epochs, with the wanted one added. An epoch is retired once a
+// later one is open here.
+epoch_document build_document(cell_state const& cell)
+{
+    epoch_document built;
+    std::uint64_t number = 0;
+    for (epoch_progress const& known : cell.epochs)
+    {
+        if (known.opened_at)
+        {
+            built.epochs.clear();
+        }
+        built.epochs.push_back(known.content);
+        number = known.content.number;
+    }
+    built.epochs.push_back(
+        {number + 1, cell.wanted_members, cell.wanted_vouchers});
+    return built;
+}
+
+void call(state const& once,
+          cell_state& cell,
+          store_request request,
+          step& current)
+{
+    cell.call = current.ids.next<store_call_id>();
+    current.out.push_back(call_store{cell.call,
+                                     store_client::once,
+                                     std::move(request),
+                                     once.own.store_timeout});
+}
+
+std::string store_key(cell_state const& cell)
+{
+    return "once/" + cell.name;
+}
+
+void read_store(state const& once, cell_state& cell, step& current)
+{
+    cell.fetch_at.reset();
+    cell.proposed.clear();
+    call(once, cell, store_get{store_key(cell)}, current);
+}
+
+void propose(state const& once, cell_state& cell, step& current)
+{
+    epoch_document const built = build_document(cell);
+    cell.propose_not_before = current.now.monotonic + once.own.change_spacing;
+    cell.propose_at = cell.propose_not_before;
+    if (built.epochs.size() > max_listed_epochs)
+    {
+        return;
+    }
+    cell.proposed = encode_epochs(built);
+    record(current,
+           {},
+           "once",
+           "epoch-proposed",
+           "cell=" + cell.name +
+               " epoch=" + std::to_string(built.epochs.back().number));
+    call(once,
+         cell,
+         store_compare_and_set{
+             store_key(cell), cell.revision, cell.proposed, {}},
+         current);
+}
+
+std::vector<std::string> peers_of(state const& once, cell_state const& cell)
+{
+    std::set<std::string> addresses;
+    for (node_id const& member : cell.wanted_members)
+    {
+        addresses.insert(member.address);
+    }
+    for (epoch_progress const& known : cell.epochs)
+    {
+        for (node_id const& member : known.content.members)
+        {
+            addresses.insert(member.address);
+        }
+    }
+    addresses.erase(once.own.self.address);
+    return {addresses.begin(), addresses.end()};
+}
+
+void fetch_document(state const& once, cell_state& cell, step& current)
+{
+    std::vector<std::string> const peers = peers_of(once, cell);
+    if (peers.empty() || cell.fetches >= peer_fetches)
+    {
+        read_store(once, cell, current);
+        return;
+    }
+    ++cell.fetches;
+    cell.fetch_at =
+        current.now.monotonic +
+        draw_jittered(current.random, fetch_interval, proposal_jitter);
+    std::string const& peer = peers[draw_below(current.random, peers.size())];
+    current.out.push_back(
+        send_control{peer, message(epoch_question{cell.name, cell.revision})});
+}
+
+// A write without an answer may have been made: the document is read again,
+// and shows whether it was.
+void back_off(cell_state& cell, step& current)
+{
+    std::uint32_t const factor = std::min(
+        1U << std::min(cell.store_failures, 4U), longest_backoff_factor);
+    ++cell.store_failures;
+    cell.proposed.clear();
+    cell.fetches = peer_fetches;
+    cell.fetch_at =
+        current.now.monotonic +
+        draw_jittered(current.random, factor * store_backoff, proposal_jitter);
+    if (cell.propose_at)
+    {
+        cell.propose_at = std::max(*cell.propose_at, *cell.fetch_at);
+    }
+}
+
+void announce_document(state const& once, cell_state const& cell, step& current)
+{
+    epoch_news const news{cell.name, cell.revision, cell.document};
+    for (std::string const& peer : peers_of(once, cell))
+    {
+        current.out.push_back(send_control{peer, message(news)});
+    }
+}
+
+struct result_visitor
+{
+    state& once;
+    cell_state& cell;
+    step& current;
+
+    void operator()(store_entry const& entry) const
+    {
+        learn_epoch(
+            this->once, this->cell, entry.revision, entry.value, this->current);
+        this->cell.store_failures = 0;
+        plan_proposal(this->once, this->cell, this->current);
+    }
+
+    void operator()(store_missing const& /*missing*/) const
+    {
+        this->cell.store_failures = 0;
+        bool const is_due =
+            this->cell.propose_at &&
+            *this->cell.propose_at <= this->current.now.monotonic;
+        if (this->cell.revision == 0 && is_due)
+        {
+            propose(this->once, this->cell, this->current);
+        }
+    }
+
+    void operator()(store_written const& written) const
+    {
+        std::string const text = this->cell.proposed;
+        this->cell.store_failures = 0;
+        learn_epoch(
+            this->once, this->cell, written.revision, text, this->current);
+        plan_proposal(this->once, this->cell, this->current);
+        announce_document(this->once, this->cell, this->current);
+    }
+
+    void operator()(store_conflict const& /*conflict*/) const
+    {
+        read_store(this->once, this->cell, this->current);
+    }
+
+    void operator()(store_unavailable const& /*unavailable*/) const
+    {
+        back_off(this->cell, this->current);
+    }
+
+    // Results of calls that this module doesn't make.
+    template <class Other>
+    void operator()(Other const& /*other*/) const
+    {
+        back_off(this->cell, this->current);
+    }
+};
+
+} // namespace
+
+void plan_proposal(state const& once, cell_state& cell, step& current)
+{
+    std::optional<std::size_t> const rank = candidate_rank(once, cell);
+    if (!rank || !is_change_wanted(cell))
+    {
+        cell.propose_at.reset();
+        return;
+    }
+    duration const delay =
+        once.own.change_delay +
+        static_cast<std::int64_t>(*rank) * candidate_interval;
+    instant const due = current.now.monotonic +
+                        draw_jittered(current.random, delay, proposal_jitter);
+    cell.propose_at = std::max(due, cell.propose_not_before);
+}
+
+void want_epoch(state& once,
+                cell_state& cell,
+                std::vector<node_id> members,
+                std::vector<node_id> vouchers,
+                step& current)
+{
+    bool const is_same =
+        cell.wanted_members == members && cell.wanted_vouchers == vouchers;
+    cell.wanted_members = std::move(members);
+    cell.wanted_vouchers = std::move(vouchers);
+    if (!is_same || !is_change_wanted(cell))
+    {
+        plan_proposal(once, cell, current);
+    }
+    bool const is_member_wanted = candidate_rank(once, cell).has_value();
+    if (cell.revision == 0 && is_member_wanted && !cell.fetch_at &&
+        cell.call.value == 0)
+    {
+        cell.fetch_at = current.now.monotonic;
+    }
+}
+
+void continue_proposal(state& once, cell_state& cell, step& current)
+{
+    if (cell.call.value != 0)
+    {
+        return;
+    }
+    instant const now = current.now.monotonic;
+    if (cell.propose_at && !is_change_wanted(cell))
+    {
+        cell.propose_at.reset();
+    }
+    bool const is_proposal_due = cell.propose_at && *cell.propose_at <= now;
+    if (is_proposal_due && cell.revision == 0)
+    {
+        read_store(once, cell, current);
+        return;
+    }
+    if (is_proposal_due)
+    {
+        propose(once, cell, current);
+        return;
+    }
+    if (cell.fetch_at && *cell.fetch_at <= now)
+    {
+        fetch_document(once, cell, current);
+    }
+}
+
+void note_store_result(state& once,
+                       cell_state& cell,
+                       store_result const& result,
+                       step& current)
+{
+    cell.call = {};
+    std::visit(result_visitor{once, cell, current}, result);
+}
+
+} // namespace plantaintally::once
--- a/src/once/once.cpp
+++ b/src/once/once.cpp
@@ -1,6 +1,11 @@
 #include "once/once.hpp"
 
-#include "base/hash.hpp"
+#include "once/internal/epoch_book.hpp"
+#include "once/internal/hand_over.hpp"
+#include "once/internal/key_questions.hpp"
+#include "once/internal/key_table.hpp"
+#include "once/internal/proposal.hpp"
+#include "once/internal/vouch_book.hpp"
 
 #include <algorithm>
 
@@ -10,125 +15,218 @@
 namespace
 {
 
-claim claim_known(key_record const& known)
+cell_state* find_cell(state& once, std::string_view name)
 {
-    if (!known.outcome)
-    {
-        return join_running{known.running};
-    }
-    if (known.outcome->attempt.value == 0)
+    auto const found = once.cells.find(name);
+    return found == once.cells.end() ? nullptr : &found->second;
+}
+
+void note_newer_epoch(cell_state& cell, std::uint64_t number, step& current)
+{
+    if (number > cell.heard_epoch)
     {
-        return refuse_key{
-            known.outcome->outcome, refusal::key_history_unknown, {}};
+        cell.heard_epoch = number;
+        cell.fetch_at = current.now.monotonic;
     }
-    return replay_answer{known.outcome->attempt, known.outcome->report};
 }
 
-claim accept_key(state& once, claim_request const& request)
+struct message_visitor
 {
-    if (once.keys.size() >= once.own.key_limit)
+    state& once;
+    node_id const& sender;
+    step& current;
+
+    void reply(message const& content) const
     {
-        return refuse_key{verdict::not_run, refusal::key_table_full, {}};
+        this->current.out.push_back(
+            send_control{this->sender.address, content});
     }
-    once.keys.emplace(request.key, key_record{request.exchange, {}});
-    once.running.emplace(request.exchange, request.key);
-    return run_now{};
-}
 
-} // namespace
+    void operator()(vouch_request const& asked) const
+    {
+        this->reply(give_vouch(this->once, asked, this->current.now));
+        if (cell_state* cell = find_cell(this->once, asked.cell))
+        {
+            note_newer_epoch(*cell, asked.epoch, this->current);
+        }
+    }
 
-void start(state& /*once*/, step& /*current*/) {}
+    void operator()(vouch_reply const& reply) const
+    {
+        if (cell_state* cell = find_cell(this->once, reply.cell))
+        {
+            note_vouch(this->once, *cell, this->sender, reply, this->current);
+        }
+    }
 
-claim claim_key(state& once, claim_request const& request, step& /*current*/)
-{
-    auto const known = once.keys.find(request.key);
-    if (known != once.keys.end())
+    void operator()(epoch_question const& asked) const
     {
-        return claim_known(known->second);
+        cell_state const* cell = find_cell(this->once, asked.cell);
+        if (cell != nullptr && cell->revision > asked.known_revision)
+        {
+            this->reply(epoch_news{cell->name, cell->revision, cell->document});
+        }
     }
-    std::string const home = presumed_home(once.members, request.key);
-    if (!home.empty() && home != once.own.self.address)
+
+    void operator()(epoch_news const& news) const
     {
-        return redirect_home{home};
+        cell_state* cell = find_cell(this->once, news.cell);
+        if (cell == nullptr)
+        {
+            return;
+        }
+        learn_epoch(
+            this->once, *cell, news.revision, news.document, this->current);
+        plan_proposal(this->once, *cell, this->current);
     }
-    return accept_key(once, request);
-}
 
-void finish_key(state& once,
-                exchange_id running,
-                key_outcome const& outcome,
-                step& /*current*/)
-{
-    auto const execution = once.running.find(running);
-    if (execution == once.running.end())
+    void operator()(key_question const& asked) const
     {
-        return;
+        if (cell_state* cell = find_cell(this->once, asked.cell))
+        {
+            note_newer_epoch(*cell, asked.newest_epoch, this->current);
+        }
+        this->reply(answer_question(this->once, asked, this->current));
     }
-    auto const known = once.keys.find(execution->second);
-    once.running.erase(execution);
-    if (known == once.keys.end())
+
+    void operator()(key_answer const& answer) const
     {
-        return;
+        note_answer(this->once, this->sender, answer, this->current);
     }
-    if (outcome.outcome == verdict::not_run)
+
+    void operator()(key_transfer const& part) const
     {
-        once.keys.erase(known);
-        return;
+        take_transfer(this->once, this->sender, part, this->current);
     }
-    known->second.outcome = outcome;
-}
 
-std::vector<resolved_claim> take_resolved(state& /*once*/, step& /*current*/)
+    void operator()(key_transfer_received const& confirmed) const
+    {
+        confirm_transfer(this->once, this->sender, confirmed);
+    }
+};
+
+void note_nodes(cell_state& cell,
+                std::span<membership::member_record const> nodes,
+                step& current)
 {
-    return {};
+    for (membership::member_record const& member : nodes)
+    {
+        note_moved(cell, member.node, 0, current.now);
+    }
 }
 
-void handle_members(state& once,
-                    std::string_view /*service*/,
-                    std::span<membership::member_record const> members,
-                    std::span<membership::member_record const> /*fleet*/,
-                    step& /*current*/)
+void take_earlier(std::optional<instant>& earliest,
+                  std::optional<instant> const& candidate)
 {
-    once.members.assign(members.begin(), members.end());
+    if (candidate)
+    {
+        earliest = earliest ? std::min(*earliest, *candidate) : *candidate;
+    }
 }
 
-void handle_message(state& /*once*/,
-                    node_id const& /*sender*/,
-                    message const& /*received*/,
-                    step& /*current*/)
+std::optional<instant> next_cell_deadline(state const& once,
+                                          cell_state const& cell)
 {
+    std::optional<instant> earliest = cell.vouch_round_at;
+    take_earlier(earliest, next_fence(once, cell));
+    if (cell.call.value == 0)
+    {
+        take_earlier(earliest, cell.fetch_at);
+        take_earlier(earliest, cell.propose_at);
+    }
+    return earliest;
 }
 
-void handle_store(state& /*once*/,
-                  store_call_id /*call*/,
-                  store_result const& /*result*/,
-                  step& /*current*/)
+} // namespace
+
+void start(state& once, step& current)
 {
+    once.started_at = current.now.monotonic;
 }
 
-void handle_time(state& /*once*/, step& /*current*/) {}
+void handle_members(state& once,
+                    std::string_view service,
+                    std::span<membership::member_record const> members,
+                    std::span<membership::member_record const> fleet,
+                    step& current)
+{
+    once.service = service;
+    once.members.assign(members.begin(), members.end());
+    for (std::uint32_t index = 0; index < once.own.cell_count; ++index)
+    {
+        std::string const name =
+            std::string(service) + "/" + std::to_string(index);
+        std::vector<node_id> wanted = choose_members(members, name);
+        bool const is_wanted =
+            std::ranges::find(wanted, once.own.self) != wanted.end();
+        if (!is_wanted && !once.cells.contains(name))
+        {
+            continue;
+        }
+        cell_state& cell = once.cells[name];
+        cell.name = name;
+        note_nodes(cell, members, current);
+        note_nodes(cell, fleet, current);
+        std::vector<node_id> vouchers = choose_vouchers(members, fleet, cell);
+        want_epoch(once, cell, std::move(wanted), std::move(vouchers), current);
+    }
+}
 
-std::optional<instant> next_deadline(state const& /*once*/)
+void handle_message(state& once,
+                    node_id const& sender,
+                    message const& received,
+                    step& current)
 {
-    return std::nullopt;
+    std::visit(message_visitor{once, sender, current}, received);
 }
 
-bool is_handed_over(state const& once)
+void handle_store(state& once,
+                  store_call_id call,
+                  store_result const& result,
+                  step& current)
 {
-    return once.running.empty();
+    for (auto& [name, cell] : once.cells)
+    {
+        if (cell.call == call)
+        {
+            note_store_result(once, cell, result, current);
+            return;
+        }
+    }
 }
 
-void hand_over(state& /*once*/, step& /*current*/) {}
+void handle_time(state& once, step& current)
+{
+    instant const now = current.now.monotonic;
+    expire_keys(once, current);
+    for (auto& [name, cell] : once.cells)
+    {
+        settle_epochs(once, cell, current);
+        if (cell.vouch_round_at && *cell.vouch_round_at <= now)
+        {
+            ask_vouches(once, cell, current);
+        }
+        continue_proposal(once, cell, current);
+    }
+    if (once.transfer_at && *once.transfer_at <= now)
+    {
+        continue_transfer(once, current);
+    }
+}
 
-std::string presumed_home(std::span<membership::member_record const> members,
-                          std::string_view key)
+std::optional<instant> next_deadline(state const& once)
 {
-    auto const weight = [key](membership::member_record const& member)
+    std::optional<instant> earliest = next_question_deadline(once);
+    for (auto const& [name, cell] : once.cells)
     {
-        return rendezvous_weight(member.node.address, key);
-    };
-    auto const home = std::ranges::max_element(members, {}, weight);
-    return home == members.end() ? std::string() : home->node.address;
+        take_earlier(earliest, next_cell_deadline(once, cell));
+    }
+    take_earlier(earliest, once.transfer_at);
+    if (!once.expiries.empty())
+    {
+        take_earlier(earliest, once.expiries.front().at);
+    }
+    return earliest;
 }
 
 } // namespace plantaintally::once
--- a/src/once/once.hpp
+++ b/src/once/once.hpp
@@ -5,10 +5,13 @@
 #include "base/verdict.hpp"
 #include "membership/messages.hpp"
 #include "messages/step.hpp"
+#include "once/epoch.hpp"
 #include "once/messages.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -33,6 +36,17 @@
     duration retry_horizon = std::chrono::minutes(10);
     // Keys that this home holds at most; beyond it new keys are refused.
     std::uint32_t key_limit = 200'000;
+    // Cells that a service's keys are divided into. Equal at every node of the
+    // service; it may only change while none of the service's nodes runs.
+    std::uint32_t cell_count = 1;
+    // Members must stay as they are this long before a new epoch is proposed.
+    duration change_delay = std::chrono::seconds(1);
+    // Shortest time between two proposals of this node for the same cell.
+    duration change_spacing = std::chrono::seconds(7);
+    // How long a new home waits for what the previous homes know of a key.
+    duration question_timeout = std::chrono::milliseconds(500);
+    // Longest wait for the platform's store.
+    duration store_timeout = std::chrono::seconds(2);
 };
 
 // A keyed request that reached its presumed home.
@@ -97,24 +111,92 @@
     hop_report report;
 };
 
-// What this home knows of a key that it has accepted.
+// What this home knows of a key that it has accepted or been handed.
 struct key_record
 {
+    std::string cell;
     // The exchange whose execution was allowed.
     exchange_id running;
     // Set once that execution has ended.
     std::optional<key_outcome> outcome;
+    // When the record may be forgotten; set once the execution has ended.
+    instant expires_at{};
+};
+
+// When to look whether a record has expired.
+struct key_expiry
+{
+    instant at{};
+    std::string key;
+};
+
+// Claims of one key that wait for what the homes of earlier epochs know.
+struct pending_key
+{
+    std::string cell;
+    std::vector<claim_request> claims;
+    // Epochs whose home has not answered yet.
+    std::set<std::uint64_t> unanswered;
+    // The lowest epoch known, whose home has to know the time before, too.
+    std::uint64_t lowest_epoch = 0;
+    // The epoch since which this node is the key's home.
+    std::uint64_t home_since = 0;
+    // True once every home has answered that it never saw the key.
+    bool is_history_known = false;
+    // The previous home that has the key in its record.
+    std::string recorded_at;
+    // When the claims are decided with what is known by then.
+    instant deadline{};
+};
+
+// Parts of a hand-over that have come from a leaving home.
+struct received_transfer
+{
+    std::uint32_t parts = 0;
+    std::set<std::uint32_t> received;
+    wall_time known_since{};
+};
+
+// A part of a hand-over whose receipt is not confirmed yet.
+struct unconfirmed_transfer
+{
+    std::string address;
+    key_transfer content;
+};
+
+// Names the hand-over of one home.
+struct transfer_source
+{
+    std::string cell;
+    std::uint64_t epoch = 0;
+    node_id sender;
+
+    auto operator<=>(transfer_source const&) const = default;
 };
 
 // State of the protocol at this node; owned by the node's state.
 struct state
 {
     options own;
+    instant started_at{};
+    std::string service;
     // Members of this node's service that are not gone, in order of address.
     std::vector<membership::member_record> members;
+    // Cells of this node's service, by name.
+    std::map<std::string, cell_state, std::less<>> cells;
+    // As a voucher: the epoch below which this node never vouches, by cell.
+    std::map<std::string, std::uint64_t, std::less<>> vouched_epochs;
     std::map<std::string, key_record, std::less<>> keys;
+    // In order of time.
+    std::deque<key_expiry> expiries;
     // The key that each running execution belongs to.
     std::map<exchange_id, std::string> running;
+    std::map<std::string, pending_key, std::less<>> pending;
+    std::map<transfer_source, received_transfer> received;
+    bool is_leaving = false;
+    bool is_transfer_started = false;
+    std::vector<unconfirmed_transfer> unconfirmed;
+    std::optional<instant> transfer_at;
 };
 
 void start(state& once, step& current);
@@ -159,9 +241,10 @@
 void hand_over(state& once, step& current);
 
 // The address of the home that a node which doesn't know the epoch presumes:
-// the member with the highest rendezvous weight for the key. Empty if there
-// are no members.
+// the member with the highest rendezvous weight for the key, among those of
+// the key's cell that take new work. Empty if there are none.
 std::string presumed_home(std::span<membership::member_record const> members,
-                          std::string_view key);
+                          std::string_view key,
+                          std::uint32_t cell_count = 1);
 
 } // namespace plantaintally::once
--- a/src/once/tests/claim_test.cpp
+++ b/src/once/tests/claim_test.cpp
@@ -1,64 +1,108 @@
-#include "once/once.hpp"
+#include "once/tests/fleet.hpp"
 
 #include <catch2/catch.hpp>
 
 using namespace plantaintally;
 using namespace plantaintally::once;
+using namespace plantaintally::once::test;
 
 namespace
 {
 
-struct lone_home
-{
-    state once;
-    random_source random;
-    id_source ids;
-    timeline::hybrid_clock clock;
-    effects out;
-
-    claim ask(std::uint64_t exchange, std::string key)
-    {
-        step current{moment{}, this->random, this->ids, this->clock, this->out};
-        return claim_key(this->once,
-                         {exchange_id{exchange}, "bookings", std::move(key)},
-                         current);
-    }
+// Long enough for the first epoch to be agreed and vouched for.
+constexpr duration settling = seconds(8);
 
-    void finish(std::uint64_t exchange, verdict outcome, std::uint64_t attempt)
-    {
-        step current{moment{}, this->random, this->ids, this->clock, this->out};
-        finish_key(this->once,
-                   exchange_id{exchange},
-                   {outcome, attempt_id{attempt}, {}},
-                   current);
-    }
-};
+bool is_refused(claim const& made, verdict outcome, refusal reason)
+{
+    auto const* refused = std::get_if<refuse_key>(&made);
+    return refused != nullptr && refused->outcome == outcome &&
+           refused->reason == reason;
+}
 
 } // namespace
 
 TEST_CASE("a duplicate in flight joins the running execution")
 {
-    lone_home home;
-    CHECK(std::holds_alternative<run_now>(home.ask(1, "a")));
-    claim const repeated = home.ask(2, "a");
+    fleet nodes(4);
+    nodes.run_for(settling);
+    std::string const home = nodes.addresses().front();
+    std::string const key = nodes.key_at(home, nodes.elapsed());
+    REQUIRE(std::holds_alternative<run_now>(nodes.ask(home, key)));
+    exchange_id const first = nodes.last_exchange();
+    claim const repeated = nodes.ask(home, key);
     REQUIRE(std::holds_alternative<join_running>(repeated));
-    CHECK(std::get<join_running>(repeated).running == exchange_id{1});
+    CHECK(std::get<join_running>(repeated).running == first);
 }
 
 TEST_CASE("a finished duplicate replays the recorded answer")
 {
-    lone_home home;
-    home.ask(1, "a");
-    home.finish(1, verdict::ran, 9);
-    claim const repeated = home.ask(2, "a");
+    fleet nodes(4);
+    nodes.run_for(settling);
+    std::string const home = nodes.addresses().front();
+    std::string const key = nodes.key_at(home, nodes.elapsed());
+    nodes.ask(home, key);
+    nodes.finish(nodes.last_exchange(), verdict::ran, 9);
+    claim const repeated = nodes.ask(home, key);
     REQUIRE(std::holds_alternative<replay_answer>(repeated));
     CHECK(std::get<replay_answer>(repeated).attempt == attempt_id{9});
 }
 
 TEST_CASE("a key that did not run may be claimed again")
 {
-    lone_home home;
-    home.ask(1, "a");
-    home.finish(1, verdict::not_run, 0);
-    CHECK(std::holds_alternative<run_now>(home.ask(2, "a")));
+    fleet nodes(1);
+    nodes.run_for(settling);
+    std::string const home = nodes.addresses().front();
+    nodes.ask(home, "not-time-ordered");
+    nodes.finish(nodes.last_exchange(), verdict::not_run, 0);
+    CHECK(std::holds_alternative<run_now>(nodes.ask(home, "not-time-ordered")));
+}
+
+TEST_CASE("a node that is not the home names the home")
+{
+    fleet nodes(4);
+    nodes.run_for(settling);
+    std::string const home = nodes.addresses().front();
+    std::string const key = nodes.key_at(home, nodes.elapsed());
+    claim const made = nodes.ask(nodes.addresses().back(), key);
+    REQUIRE(std::holds_alternative<redirect_home>(made));
+    CHECK(std::get<redirect_home>(made).address == home);
+}
+
+TEST_CASE("a full table refuses new keys truthfully and forgets none")
+{
+    fleet nodes(1);
+    std::string const home = nodes.addresses().front();
+    nodes.at(home).once.own.key_limit = 2;
+    nodes.run_for(settling);
+    nodes.ask(home, "a");
+    nodes.ask(home, "b");
+    CHECK(is_refused(
+        nodes.ask(home, "c"), verdict::not_run, refusal::key_table_full));
+    CHECK(std::holds_alternative<join_running>(nodes.ask(home, "a")));
+}
+
+TEST_CASE("a time-ordered key beyond the retry horizon is refused")
+{
+    fleet nodes(1);
+    nodes.run_for(std::chrono::minutes(12));
+    std::string const home = nodes.addresses().front();
+    std::string const key = make_key(seconds(60), 1);
+    CHECK(is_refused(
+        nodes.ask(home, key), verdict::may_have_run, refusal::key_too_old));
+}
+
+TEST_CASE("a record outlives the retry horizon and its answer is released")
+{
+    fleet nodes(1);
+    nodes.run_for(settling);
+    std::string const home = nodes.addresses().front();
+    std::string const key = make_key(nodes.elapsed(), 1);
+    nodes.ask(home, key);
+    nodes.finish(nodes.last_exchange(), verdict::ran, 9);
+    nodes.run_for(std::chrono::minutes(10));
+    CHECK(std::holds_alternative<replay_answer>(nodes.ask(home, key)));
+    nodes.run_for(std::chrono::minutes(1));
+    CHECK(nodes.at(home).once.keys.empty());
+    CHECK(is_refused(
+        nodes.ask(home, key), verdict::may_have_run, refusal::key_too_old));
 }
