Add stand-ins of the platform, the upstreams and the callers

Cause: tests, the demo and the measurements need the far side of every interface as real processes whose faults can be switched while they run. Change: `standin platform|upstream|caller` on Boost.Beast. The platform keeps keys, leases and watches and can be slow, down, or lose the answer of a write that it made. An upstream has slots, a backlog, a connection limit and set-up cost, a cold start, downstream calls, and counts effects by key, also into a file that outlives the process. A caller sends open-loop traffic in phases with hard retries and checks that each answer is whole and its own.

--- /dev/null
+++ b/apps/standin/main.cpp
@@ -0,0 +1,133 @@
+// Stand-ins for tests, demos and measurements: platform, upstream, caller.
+#include "standin/programs.hpp"
+
+#include <gflags/gflags.h>
+
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+#include <string>
+
+DEFINE_string(listen, "", "host:port to serve; the caller's control endpoint");
+DEFINE_uint64(seed, 1, "seed of every random draw");
+DEFINE_string(service, "", "upstream: the service that it belongs to");
+DEFINE_string(name, "", "upstream: its name in answers and reports");
+DEFINE_string(node, "", "upstream: host:port of its node's local listener");
+DEFINE_string(routes, "", "upstream: JSON file with its routes");
+DEFINE_uint32(slots, 10, "upstream: requests served at once");
+DEFINE_uint32(backlog, 20, "upstream: requests waiting before it sheds");
+DEFINE_uint32(connections, 100, "upstream: connections accepted at once");
+DEFINE_uint32(cold_start_ms, 0, "upstream: time until it has full speed");
+DEFINE_double(cold_factor, 4, "upstream: slowness at the start");
+DEFINE_string(effects_log, "", "upstream: file to append each effect to");
+DEFINE_string(plan, "", "caller: JSON file with classes and phases");
+DEFINE_string(report, "", "caller: file of the summary; default: stdout");
+DEFINE_string(records, "", "caller: file of every request, JSON lines");
+
+namespace
+{
+
+namespace standin = plantaintally::standin;
+
+constexpr int usage_exit_code = 2;
+constexpr char const* usage =
+    "standin platform|upstream|caller [flags]; see standin --help";
+
+std::optional<std::string> read_file(std::string const& path)
+{
+    std::ifstream file(path);
+    if (!file)
+    {
+        return std::nullopt;
+    }
+    return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+int reject(std::string const& message)
+{
+    std::cerr << "standin: " << message << '\n';
+    return usage_exit_code;
+}
+
+int run_upstream()
+{
+    standin::upstream_options options;
+    options.service = FLAGS_service;
+    options.name = FLAGS_name;
+    options.address = FLAGS_listen;
+    options.node_address = FLAGS_node;
+    options.slots = FLAGS_slots;
+    options.backlog = FLAGS_backlog;
+    options.connections = FLAGS_connections;
+    options.cold_start_ms = FLAGS_cold_start_ms;
+    options.cold_factor = FLAGS_cold_factor;
+    options.seed = FLAGS_seed;
+    options.effects_log = FLAGS_effects_log;
+    auto const text = read_file(FLAGS_routes);
+    if (!text)
+    {
+        return reject("can't read --routes " + FLAGS_routes);
+    }
+    auto routes = standin::parse_routes(*text);
+    if (!routes)
+    {
+        return reject(FLAGS_routes + ": " + routes.error().message);
+    }
+    options.routes = routes.value();
+    return standin::run_upstream(options);
+}
+
+int run_caller()
+{
+    auto const text = read_file(FLAGS_plan);
+    if (!text)
+    {
+        return reject("can't read --plan " + FLAGS_plan);
+    }
+    auto const plan = standin::parse_caller_plan(*text);
+    if (!plan)
+    {
+        return reject(FLAGS_plan + ": " + plan.error().message);
+    }
+    return standin::run_caller(plan.value(),
+                               {FLAGS_listen, FLAGS_report, FLAGS_records});
+}
+
+int run(std::string const& role)
+{
+    if (role == "platform")
+    {
+        return standin::run_platform(FLAGS_listen, FLAGS_seed);
+    }
+    if (role == "upstream")
+    {
+        return run_upstream();
+    }
+    if (role == "caller")
+    {
+        return run_caller();
+    }
+    return reject(usage);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    gflags::SetUsageMessage(usage);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (argc != 2)
+    {
+        return reject(usage);
+    }
+    try
+    {
+        return run(argv[1]);
+    }
+    catch (std::exception const& failure)
+    {
+        std::cerr << "standin: " << failure.what() << '\n';
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/standin/internal/upstream.cpp
@@ -0,0 +1,425 @@
+#include "standin/upstream.hpp"
+
+#include "standin/answer_body.hpp"
+#include "standin/request_key.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace plantaintally::standin
+{
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using json = nlohmann::json;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+namespace
+{
+
+constexpr milliseconds announce_interval{1000};
+constexpr milliseconds node_call_timeout{1000};
+constexpr milliseconds paused_recheck{200};
+constexpr milliseconds default_deadline{30'000};
+// A draining upstream leaves once nothing came for this long.
+constexpr milliseconds drain_quiet_time{500};
+constexpr milliseconds drain_check_interval{20};
+constexpr std::string_view request_id_header = "X-Request-Id";
+constexpr std::string_view key_header = "Idempotency-Key";
+constexpr std::string_view deadline_header = "Plantaintally-Deadline-Ms";
+constexpr std::string_view verdict_header = "Plantaintally-Verdict";
+constexpr std::string_view not_run = "not-run";
+
+asio::awaitable<void> sleep_for(microseconds span)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, span);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+std::string_view header(http_request const& request, std::string_view name)
+{
+    auto const value = request[name];
+    return {value.data(), value.size()};
+}
+
+http_reply refusal_reply(std::string_view reason)
+{
+    auto reply = json_reply(503, json{{"reason", reason}}.dump());
+    reply.response.set(verdict_header, not_run);
+    reply.response.set(http::field::retry_after, "1");
+    return reply;
+}
+
+http_reply failure_reply(unsigned status, std::string_view reason)
+{
+    return json_reply(status, json{{"reason", reason}}.dump());
+}
+
+milliseconds time_left(http_request const& request)
+{
+    auto const text = header(request, deadline_header);
+    std::int64_t left_ms = 0;
+    auto const parsed =
+        std::from_chars(text.data(), text.data() + text.size(), left_ms);
+    return parsed.ec == std::errc{} ? milliseconds(left_ms) : default_deadline;
+}
+
+// Counts a request for as long as it lives.
+struct counted
+{
+    std::size_t& count;
+    explicit counted(std::size_t& open) : count(open)
+    {
+        ++this->count;
+    }
+    ~counted()
+    {
+        --this->count;
+    }
+    counted(counted const&) = delete;
+    counted& operator=(counted const&) = delete;
+};
+
+} // namespace
+
+upstream::upstream(upstream_options upstream_settings)
+    : options(std::move(upstream_settings)),
+      slots(this->options.slots, this->options.backlog),
+      ledger(this->options.effects_log), random(this->options.seed),
+      started_at(clock::now())
+{
+}
+
+asio::awaitable<http_reply> upstream::handle(http_request request)
+{
+    if (request.target() == "/healthz")
+    {
+        co_return this->health();
+    }
+    if (request.target() == "/standin/faults")
+    {
+        co_return this->change_faults(request.body());
+    }
+    if (request.target() == "/standin/report")
+    {
+        co_return this->report();
+    }
+    auto const* route = this->find_route(request);
+    if (route == nullptr)
+    {
+        co_return failure_reply(404, "no such route");
+    }
+    counted const open(this->in_flight);
+    ++this->counters.arrived;
+    this->counters.last_arrival_unix_ms =
+        std::chrono::duration_cast<milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch())
+            .count();
+    while (this->faults.is_paused)
+    {
+        co_await this->paused_requests.wait(paused_recheck);
+    }
+    co_return co_await this->serve(std::move(request), *route);
+}
+
+asio::awaitable<http_reply> upstream::serve(http_request request,
+                                            upstream_route const& route)
+{
+    auto const deadline = clock::now() + time_left(request);
+    std::optional<slot> held;
+    if (!this->faults.sheds_all)
+    {
+        auto acquired = co_await this->slots.acquire();
+        if (acquired)
+        {
+            held.emplace(std::move(*acquired));
+        }
+    }
+    if (!held)
+    {
+        ++this->counters.shed;
+        co_return refusal_reply("backlog full");
+    }
+    if (clock::now() >= deadline)
+    {
+        ++this->counters.deadline_missed;
+        co_return refusal_reply("deadline passed in the backlog");
+    }
+    ++this->counters.started;
+    auto reply = co_await this->run(request, route, deadline);
+    reply.response.set(request_id_header, header(request, request_id_header));
+    co_return reply;
+}
+
+asio::awaitable<http_reply> upstream::run(http_request const& request,
+                                          upstream_route const& route,
+                                          clock::time_point deadline)
+{
+    co_await sleep_for(this->draw_service_time(route));
+    bool is_first = true;
+    for (auto const& call : route.calls)
+    {
+        if (this->options.node_address.empty())
+        {
+            break;
+        }
+        auto reply =
+            co_await this->call_downstream(request, call, deadline, is_first);
+        if (reply.response.result_int() >= 300)
+        {
+            ++this->counters.downstream_failed;
+            co_return reply;
+        }
+        is_first = false;
+    }
+    if (clock::now() >= deadline)
+    {
+        ++this->counters.deadline_missed;
+        co_return failure_reply(504, "deadline passed");
+    }
+    auto const request_id = header(request, request_id_header);
+    if (route.has_effect)
+    {
+        this->ledger.record(header(request, key_header), request_id);
+    }
+    ++this->counters.answered;
+    http_reply reply;
+    reply.response.result(http::status::ok);
+    reply.response.body() =
+        make_answer_body(request_id, this->options.name, route.answer_bytes);
+    co_return reply;
+}
+
+asio::awaitable<http_reply>
+upstream::call_downstream(http_request const& request,
+                          downstream_call const& call,
+                          clock::time_point deadline,
+                          bool is_first)
+{
+    auto const left =
+        std::chrono::duration_cast<milliseconds>(deadline - clock::now());
+    if (left.count() <= 0)
+    {
+        co_return failure_reply(504, "deadline passed before a call");
+    }
+    http_request downstream(http::string_to_verb(call.method), call.path, 11);
+    downstream.set(http::field::host, call.service);
+    downstream.set(request_id_header, header(request, request_id_header));
+    downstream.set(deadline_header, std::to_string(left.count()));
+    auto const key = header(request, key_header);
+    if (!key.empty())
+    {
+        downstream.set(key_header, derive_key(key, call.service + call.path));
+    }
+    auto const answer = co_await this->client->call(
+        this->options.node_address, std::move(downstream), left);
+    if (!answer)
+    {
+        co_return failure_reply(502, answer.error().message);
+    }
+    auto const& response = answer.value();
+    auto const is_refused =
+        response.result_int() == 503 && response[verdict_header] == not_run;
+    if (is_refused && is_first)
+    {
+        co_return refusal_reply("downstream refused");
+    }
+    if (response.result_int() >= 300)
+    {
+        co_return failure_reply(502, "downstream failed");
+    }
+    auto const checked =
+        check_answer_body(response.body(), header(request, request_id_header));
+    if (!checked)
+    {
+        co_return failure_reply(502, checked.error().message);
+    }
+    http_reply reply;
+    reply.response.result(http::status::ok);
+    co_return reply;
+}
+
+upstream_route const* upstream::find_route(http_request const& request) const
+{
+    auto const target =
+        std::string_view(request.target().data(), request.target().size());
+    auto const found =
+        std::find_if(this->options.routes.begin(),
+                     this->options.routes.end(),
+                     [&](upstream_route const& route)
+                     {
+                         return route.method == request.method_string() &&
+                                target.starts_with(route.path);
+                     });
+    return found == this->options.routes.end() ? nullptr : &*found;
+}
+
+microseconds upstream::draw_service_time(upstream_route const& route)
+{
+    double const random_ms = route.service_ms * route.spread;
+    double service_ms = route.service_ms - random_ms;
+    if (random_ms > 0)
+    {
+        std::exponential_distribution<double> tail(1 / random_ms);
+        service_ms += tail(this->random);
+    }
+    auto const age = std::chrono::duration<double, std::milli>(
+        clock::now() - this->started_at);
+    double const cold_left =
+        this->options.cold_start_ms == 0
+            ? 0
+            : std::max(0.0, 1 - age.count() / this->options.cold_start_ms);
+    double const factor = this->faults.slow_factor *
+                          (1 + (this->options.cold_factor - 1) * cold_left);
+    constexpr double us_per_ms = 1000;
+    return microseconds(
+        static_cast<std::int64_t>(service_ms * factor * us_per_ms));
+}
+
+std::string upstream::announcement() const
+{
+    json const body = {{"service", this->options.service},
+                       {"address", this->options.address},
+                       {"slots", this->slots.slots()},
+                       {"connections", this->options.connections},
+                       {"cold_start_ms", this->options.cold_start_ms}};
+    return body.dump();
+}
+
+asio::awaitable<void> upstream::tell_node(std::string path, std::string body)
+{
+    http_request message(http::verb::post, path, 11);
+    message.set(http::field::host, "localhost");
+    message.set(http::field::content_type, "application/json");
+    message.body() = std::move(body);
+    // A node that can't be reached is told again with the next announcement.
+    co_await this->client->call(
+        this->options.node_address, std::move(message), node_call_timeout);
+}
+
+asio::awaitable<void> upstream::announce()
+{
+    while (!this->options.node_address.empty() && !this->is_draining)
+    {
+        co_await this->tell_node("/plantaintally/v1/announce",
+                                 this->announcement());
+        co_await sleep_for(announce_interval);
+    }
+}
+
+asio::awaitable<void> upstream::drain()
+{
+    this->is_draining = true;
+    bool const has_node = !this->options.node_address.empty();
+    if (has_node)
+    {
+        co_await this->tell_node("/plantaintally/v1/drain", "");
+    }
+    auto arrived = this->counters.arrived;
+    auto quiet_since = clock::now();
+    while (clock::now() - quiet_since < drain_quiet_time)
+    {
+        co_await sleep_for(drain_check_interval);
+        if (this->in_flight > 0 || this->counters.arrived != arrived)
+        {
+            arrived = this->counters.arrived;
+            quiet_since = clock::now();
+        }
+    }
+    if (has_node)
+    {
+        co_await this->tell_node("/plantaintally/v1/gone", "");
+    }
+}
+
+http_reply upstream::health()
+{
+    auto const now = clock::now();
+    bool const is_stale =
+        now - this->last_health_at >= milliseconds(this->faults.health_lag_ms);
+    if (this->last_health.empty() || is_stale)
+    {
+        auto const busy = this->slots.running() + this->slots.waiting();
+        bool const is_full = busy >= this->slots.slots();
+        json const truth = {
+            {"healthy", !is_full && !this->faults.is_paused},
+            {"load_permille",
+             1000 * busy / std::max<std::size_t>(1, this->slots.slots())}};
+        this->last_health = truth.dump();
+        this->last_health_at = now;
+    }
+    switch (this->faults.health)
+    {
+    case health_mode::always_healthy:
+        return json_reply(200, R"({"healthy":true,"load_permille":0})");
+    case health_mode::always_sick:
+        return json_reply(200, R"({"healthy":false,"load_permille":1000})");
+    case health_mode::truth:
+        break;
+    }
+    return json_reply(200, this->last_health);
+}
+
+http_reply upstream::change_faults(std::string const& body)
+{
+    auto const wanted = json::parse(body);
+    auto& active = this->faults;
+    active.slow_factor = wanted.value("slow_factor", active.slow_factor);
+    active.is_paused = wanted.value("paused", active.is_paused);
+    active.sheds_all = wanted.value("shed", active.sheds_all);
+    active.health_lag_ms = wanted.value("health_lag_ms", active.health_lag_ms);
+    if (wanted.contains("health"))
+    {
+        auto const mode = wanted["health"].get<std::string>();
+        active.health = mode == "healthy" ? health_mode::always_healthy
+                        : mode == "sick"  ? health_mode::always_sick
+                                          : health_mode::truth;
+    }
+    if (wanted.contains("slots"))
+    {
+        this->slots.resize(wanted["slots"].get<std::size_t>());
+    }
+    if (wanted.contains("connections"))
+    {
+        this->options.connections = wanted["connections"].get<std::size_t>();
+        this->server->set_connection_limit(this->options.connections);
+    }
+    if (wanted.value("cold_start", false))
+    {
+        this->started_at = clock::now();
+    }
+    this->paused_requests.notify_all();
+    return json_reply(200, "{}");
+}
+
+http_reply upstream::report() const
+{
+    auto const& seen = this->counters;
+    json const body = {
+        {"service", this->options.service},
+        {"name", this->options.name},
+        {"arrived", seen.arrived},
+        {"started", seen.started},
+        {"answered", seen.answered},
+        {"shed", seen.shed},
+        {"deadline_missed", seen.deadline_missed},
+        {"downstream_failed", seen.downstream_failed},
+        {"last_arrival_unix_ms", seen.last_arrival_unix_ms},
+        {"effects", this->ledger.effects()},
+        {"duplicates", this->ledger.duplicates()},
+        {"running", this->slots.running()},
+        {"waiting", this->slots.waiting()},
+        {"connections", this->server->connections()},
+        {"refused_connections", this->server->refused_connections()},
+        {"cancelled", this->server->cancelled_requests()}};
+    return json_reply(200, body.dump());
+}
+
+} // namespace plantaintally::standin
