--- a/src/standin/internal/programs.cpp
+++ b/src/standin/internal/programs.cpp
@@ -98,6 +98,7 @@
     listen(io, server, options.address);
     asio::co_spawn(io, service.announce(), rethrow);
     io.run();
+    std::cout << service.report_json() << std::endl;
     return 0;
 }
 
--- a/src/standin/internal/upstream.cpp
+++ b/src/standin/internal/upstream.cpp
@@ -109,7 +109,7 @@
     }
     if (request.target() == "/standin/report")
     {
-        co_return this->report();
+        co_return json_reply(200, this->report_json());
     }
     auto const* route = this->find_route(request);
     if (route == nullptr)
@@ -399,7 +399,7 @@
     return json_reply(200, "{}");
 }
 
-http_reply upstream::report() const
+std::string upstream::report_json() const
 {
     auto const& seen = this->counters;
     json const body = {
@@ -419,7 +419,7 @@
         {"connections", this->server->connections()},
         {"refused_connections", this->server->refused_connections()},
         {"cancelled", this->server->cancelled_requests()}};
-    return json_reply(200, body.dump());
+    return body.dump();
 }
 
 } // namespace plantaintally::standin
--- a/src/standin/programs.hpp
+++ b/src/standin/programs.hpp
@@ -14,7 +14,8 @@
 // the exit code.
 int run_platform(std::string const& address, std::uint64_t seed);
 
-// Serves as an upstream until SIGTERM or SIGINT, then drains.
+// Serves as an upstream until SIGTERM or SIGINT, then drains and prints its
+// report as JSON.
 int run_upstream(upstream_options const& options);
 
 // Where a caller's results go.
--- a/src/standin/upstream.hpp
+++ b/src/standin/upstream.hpp
@@ -81,6 +81,9 @@
     // Tells the node, and returns once everything in flight has ended.
     boost::asio::awaitable<void> drain();
 
+    // What the control endpoint /standin/report tells, as JSON.
+    std::string report_json() const;
+
 private:
     using clock = std::chrono::steady_clock;
 
@@ -100,7 +103,6 @@
     std::string announcement() const;
     http_reply health();
     http_reply change_faults(std::string const& body);
-    http_reply report() const;
 
     upstream_options options;
     upstream_faults faults;
--- /dev/null
+++ b/tools/measurement/__init__.py
@@ -0,0 +1,1 @@
+"""Runs deployments as real processes on loopback, and measures them."""
--- /dev/null
+++ b/tools/measurement/deployment.py
@@ -0,0 +1,153 @@
+"""A deployment: its services, upstreams, nodes, addresses and settings."""
+
+import configparser
+import dataclasses
+import json
+import pathlib
+
+HOST = "127.0.0.1"
+# Each upstream and its node take this many ports.
+PORTS_PER_UPSTREAM = 8
+# The platform and the callers' control endpoints come before the upstreams.
+RESERVED_PORTS = 16
+PING_ROUTE = {"method": "GET", "path": "/ping", "service_ms": 1,
+              "spread": 0, "answer_bytes": 64}
+# Requests that wait at an upstream before it sheds, for each of its slots.
+BACKLOG_PER_SLOT = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class Service:
+    """A service with the size of each of its upstreams."""
+
+    name: str
+    upstreams: int
+    slots: int
+    connections: int
+    routes: list
+
+    def service_s(self, path):
+        """Mean service time of the route, in seconds."""
+        for route in self.routes:
+            if route["path"] == path:
+                return route["service_ms"] / 1000
+        raise KeyError(path)
+
+    def capacity(self, path):
+        """Requests a second that all upstreams can serve on the route."""
+        return self.upstreams * self.slots / self.service_s(path)
+
+
+@dataclasses.dataclass(frozen=True)
+class Upstream:
+    """One upstream and the node beside it, with their addresses."""
+
+    name: str
+    service: Service
+    zone: str
+    first_port: int
+
+    def address(self, offset):
+        """The address of the port at this offset."""
+        return f"{HOST}:{self.first_port + offset}"
+
+    @property
+    def caller_address(self):
+        """The node's listener for callers."""
+        return self.address(0)
+
+    @property
+    def local_address(self):
+        """The node's listener for the upstream and for operators."""
+        return self.address(1)
+
+    @property
+    def peer_address(self):
+        """The node's listener for other nodes; control takes the next."""
+        return self.address(2)
+
+    @property
+    def upstream_address(self):
+        """The listener of the upstream itself."""
+        return self.address(4)
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """All upstreams of a deployment, from its description file."""
+
+    name: str
+    zones: list
+    caller_latency_ms: float
+    services: list
+    classes: list
+    base_port: int
+    ranks_path: pathlib.Path
+
+    @property
+    def platform_address(self):
+        """The platform's key-value service."""
+        return f"{HOST}:{self.base_port}"
+
+    def service(self, name):
+        """The service of this name."""
+        return next(s for s in self.services if s.name == name)
+
+    def upstreams(self):
+        """Every upstream, spread over the availability zones in turn."""
+        result = []
+        for service in self.services:
+            for number in range(service.upstreams):
+                index = len(result)
+                port = (self.base_port + RESERVED_PORTS
+                        + index * PORTS_PER_UPSTREAM)
+                zone = self.zones[number % len(self.zones)]
+                name = f"{service.name}-{number + 1}"
+                result.append(Upstream(name, service, zone, port))
+        return result
+
+
+def load(folder, base_port, slot_scale=1.0):
+    """Reads deployment.json; slot_scale shrinks the slots of every upstream."""
+    folder = pathlib.Path(folder)
+    text = json.loads((folder / "deployment.json").read_text())
+    services = []
+    for entry in text["services"]:
+        slots = max(1, round(entry["slots"] * slot_scale))
+        routes = entry["routes"] + [PING_ROUTE]
+        services.append(Service(entry["name"], entry["upstreams"], slots,
+                                entry["connections"], routes))
+    return Deployment(text["name"], text["availability_zones"],
+                      text["caller_latency_ms"], services, text["classes"],
+                      base_port, folder / "ranks.commands")
+
+
+def node_settings(deployment, upstream, overrides=None):
+    """The settings of the node beside an upstream, as a ConfigParser."""
+    settings = configparser.ConfigParser()
+    first = deployment.upstreams()[0]
+    settings["node"] = {
+        "availability_zone": upstream.zone,
+        "caller_address": upstream.caller_address,
+        "local_address": upstream.local_address,
+        "peer_address": upstream.peer_address,
+        "contacts": first.peer_address if upstream != first else "",
+    }
+    settings["platform"] = {"address": deployment.platform_address}
+    for section, values in (overrides or {}).items():
+        if section not in settings:
+            settings[section] = {}
+        settings[section].update(values)
+    return settings
+
+
+def write_files(deployment, folder, overrides=None):
+    """Writes NAME.ini for each node, and SERVICE.routes.json."""
+    folder = pathlib.Path(folder)
+    folder.mkdir(parents=True, exist_ok=True)
+    for service in deployment.services:
+        path = folder / f"{service.name}.routes.json"
+        path.write_text(json.dumps(service.routes))
+    for upstream in deployment.upstreams():
+        with (folder / f"{upstream.name}.ini").open("w") as file:
+            node_settings(deployment, upstream, overrides).write(file)
--- /dev/null
+++ b/tools/measurement/scenarios/__init__.py
@@ -0,0 +1,1 @@
+"""The scenarios: each module has functions that return a Result."""
--- /dev/null
+++ b/tools/measurement/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the figures, without any process."""
