--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -459,6 +459,7 @@
         co_await pause.async_wait(
             asio::redirect_error(asio::use_awaitable, problem));
         this->recorder.flush();
+        this->exchanges.sweep();
         this->peer_pool.sweep();
         this->upstream_pool.sweep();
         this->platform_pool.sweep();
--- a/src/drivers/internal/exchange_table.cpp
+++ b/src/drivers/internal/exchange_table.cpp
@@ -11,6 +11,10 @@
 // How often a waiting exchange looks again; the reducer ends every exchange.
 constexpr duration wait_interval = std::chrono::hours(1);
 
+// How long and how many requests of callers that have gone are kept.
+constexpr auto abandoned_time = std::chrono::seconds(30);
+constexpr std::size_t max_abandoned = 10'000;
+
 } // namespace
 
 exchange_table::exchange_table(asio::any_io_executor const& executor)
@@ -38,12 +42,33 @@
     this->replies.resolve(id, std::move(content));
 }
 
+void exchange_table::abandon(exchange_id id)
+{
+    if (!this->exchanges.contains(id))
+    {
+        return;
+    }
+    this->left.push_back({id, std::chrono::steady_clock::now()});
+    this->replies.resolve(id, abandoned{});
+}
+
+void exchange_table::sweep()
+{
+    auto const oldest = std::chrono::steady_clock::now() - abandoned_time;
+    while (!this->left.empty() && (this->left.front().since < oldest ||
+                                   this->left.size() > max_abandoned))
+    {
+        this->exchanges.erase(this->left.front().id);
+        this->left.pop_front();
+    }
+}
+
 asio::awaitable<exchange_reply> exchange_table::wait(exchange_id id)
 {
     auto content = co_await this->replies.wait(id, wait_interval);
-    this->exchanges.erase(id);
     if (!content)
     {
+        this->exchanges.erase(id);
         hop_report report;
         report.reason = refusal::deadline_passed;
         constexpr std::uint32_t gateway_timeout = 504;
--- a/src/drivers/internal/exchange_table.hpp
+++ b/src/drivers/internal/exchange_table.hpp
@@ -5,6 +5,8 @@
 #include "drivers/internal/pending_replies.hpp"
 #include "messages/effects.hpp"
 
+#include <chrono>
+#include <deque>
 #include <memory>
 #include <unordered_map>
 #include <variant>
@@ -30,7 +32,12 @@
     hop_report report;
 };
 
-using exchange_reply = std::variant<passed_answer, refused_answer>;
+// Nobody is left to answer.
+struct abandoned
+{
+};
+
+using exchange_reply = std::variant<passed_answer, refused_answer, abandoned>;
 
 // A request on its way: what the reducer does not need stays here.
 struct exchange
@@ -50,12 +57,25 @@
     [[nodiscard]] exchange const* find(exchange_id id) const;
     // Answers the exchange; it ends when its session has taken the reply.
     void reply(exchange_id id, exchange_reply content);
-    // Waits until the reducer answers, however long it takes.
+    // The caller has gone, so that its session ends. The request stays for a
+    // while, because an execution that others wait for may still need it.
+    void abandon(exchange_id id);
+    // Forgets requests that were abandoned long ago; call now and then.
+    void sweep();
+    // Waits until the reducer answers, or until the exchange is abandoned.
     asio::awaitable<exchange_reply> wait(exchange_id id);
     [[nodiscard]] std::size_t size() const;
 
 private:
+    struct abandoned_exchange
+    {
+        exchange_id id;
+        std::chrono::steady_clock::time_point since;
+    };
+
     std::uint64_t last_id = 0;
+    // Oldest first.
+    std::deque<abandoned_exchange> left;
     std::unordered_map<exchange_id, exchange> exchanges;
     pending_replies<exchange_id, exchange_reply> replies;
 };
--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -208,6 +208,7 @@
                                         {},
                                         {}});
             this->services.hand_in(caller_gone{id});
+            this->services.exchanges.abandon(id);
         });
 }
 
@@ -216,6 +217,10 @@
                                            bool is_head,
                                            bool is_keep_alive)
 {
+    if (std::holds_alternative<abandoned>(reply))
+    {
+        co_return false;
+    }
     outgoing_answer content;
     content.is_head = is_head;
     content.is_keep_alive = is_keep_alive;
