Test the drivers on loopback with hand-written fakes

Cause: limits, short bodies, closed connections and late answers decide whether a verdict is true. Change: a scripted server and a driven node with a reducer of the test's own. A time far ahead is waited for in parts, since the steady clock would overflow. Conclusion: a request is written once, and only whole answers pass.

--- a/src/drivers/internal/connection_pool.cpp
+++ b/src/drivers/internal/connection_pool.cpp
@@ -49,7 +49,7 @@
 connection_pool::connection_pool(task_scope& scope,
                                  counters& counting,
                                  options wanted)
-    : tasks(scope), figures(counting), chosen(std::move(wanted))
+    : tasks(scope), figures(counting), chosen(wanted)
 {
 }
 
--- a/src/drivers/internal/wake_timer.cpp
+++ b/src/drivers/internal/wake_timer.cpp
@@ -1,5 +1,6 @@
 #include "drivers/internal/wake_timer.hpp"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -9,11 +10,9 @@
 namespace
 {
 
-// The steady clock's reading for an instant; the two share their origin.
-std::chrono::steady_clock::time_point to_steady(instant when)
-{
-    return std::chrono::steady_clock::time_point(when.time_since_epoch());
-}
+// Longest wait at a time; a later time is waited for in parts. Also keeps the
+// farthest instant from overflowing the steady clock's nanoseconds.
+constexpr duration longest_wait = std::chrono::hours(1);
 
 } // namespace
 
@@ -33,7 +32,11 @@
 void wake_timer::set(instant when)
 {
     auto const number = ++this->wait_number;
-    this->timer.expires_at(to_steady(when));
+    auto const latest = read_moment().monotonic + longest_wait;
+    auto const ends = std::min(when, latest);
+    // The steady clock shares the origin of instants.
+    this->timer.expires_at(
+        std::chrono::steady_clock::time_point(ends.time_since_epoch()));
     this->timer.async_wait(
         [this, kept = this->tasks.hold(), number, when](error_code problem)
         {
--- /dev/null
+++ b/src/drivers/tests/http_client_test.cpp
@@ -0,0 +1,396 @@
+#include "drivers/internal/http_client.hpp"
+#include "scripted_server.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <functional>
+#include <string>
+#include <vector>
+
+using namespace plantaintally;
+using namespace plantaintally::drivers;
+
+namespace
+{
+
+constexpr duration long_time = hang_limit;
+constexpr duration short_time = std::chrono::milliseconds(100);
+
+// A client with its pool, run until its calls have ended.
+struct client_fixture
+{
+    asio::io_context io;
+    counters figures;
+    std::shared_ptr<int> kept = std::make_shared<int>(0);
+    task_scope tasks{this->io.get_executor()};
+    connection_pool pool{
+        this->tasks,
+        this->figures,
+        {"upstream", 2, 64U << 10U, std::chrono::seconds(60), long_time}};
+    http_client client{this->pool, {4096, 100'000}};
+
+    client_fixture()
+    {
+        this->tasks.keep(this->kept);
+    }
+
+    call_result call(std::string const& address,
+                     std::string const& body = "",
+                     duration timeout = long_time)
+    {
+        std::vector<call_result> results;
+        this->start(results, address, body, timeout);
+        this->run_until([&] { return !results.empty(); });
+        return results.empty() ? call_result(call_failure{}) : results.front();
+    }
+
+    void start(std::vector<call_result>& results,
+               std::string address,
+               std::string body,
+               duration timeout = long_time,
+               call_control* control = nullptr)
+    {
+        asio::co_spawn(
+            this->io,
+            this->run_call(
+                results, std::move(address), std::move(body), timeout, control),
+            asio::detached);
+    }
+
+    // Runs until the condition holds, or until nothing happens any more.
+    void run_until(std::function<bool()> const& is_done)
+    {
+        this->io.restart();
+        while (!is_done() && this->io.run_one_for(hang_limit) > 0)
+        {
+        }
+    }
+
+private:
+    asio::awaitable<void> run_call(std::vector<call_result>& results,
+                                   std::string address,
+                                   std::string body,
+                                   duration timeout,
+                                   call_control* control)
+    {
+        call_control own;
+        outgoing_request request{
+            "POST",
+            "/book",
+            {{"Host", "duty-desk"}},
+            std::make_shared<std::string const>(std::move(body))};
+        auto result =
+            co_await this->client.call(std::move(address),
+                                       std::move(request),
+                                       timeout,
+                                       control == nullptr ? own : *control);
+        results.push_back(std::move(result));
+    }
+};
+
+std::string body_text(call_result const& result)
+{
+    auto const* const whole = std::get_if<answer>(&result);
+    return whole == nullptr ? "no answer" : whole->body;
+}
+
+call_failure failure_in(call_result const& result)
+{
+    REQUIRE(std::holds_alternative<call_failure>(result));
+    return std::get<call_failure>(result);
+}
+
+// Answers every request on every connection with its own body.
+void echo(test_connection& connection, std::size_t)
+{
+    for (auto request = connection.read_message(); !request.empty();
+         request = connection.read_message())
+    {
+        connection.write(ok_answer(body_of(request)));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a connection is kept for the next call after a whole answer")
+{
+    scripted_server server(echo);
+    client_fixture fixture;
+    CHECK(body_text(fixture.call(server.address(), "one")) == "one");
+    CHECK(body_text(fixture.call(server.address(), "two")) == "two");
+    CHECK(server.connection_count() == 1);
+    fixture.pool.close_idle();
+}
+
+TEST_CASE("a short body is no answer")
+{
+    scripted_server server(
+        [](test_connection& connection, std::size_t)
+        {
+            connection.read_message();
+            connection.write(
+                "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort");
+            connection.close();
+        });
+    client_fixture fixture;
+    auto const failed = failure_in(fixture.call(server.address()));
+    CHECK(failed.failure == attempt_failure::incomplete_answer);
+    CHECK(failed.is_written);
+}
+
+TEST_CASE("a chunked answer without its last chunk is no answer")
+{
+    scripted_server server(
+        [](test_connection& connection, std::size_t)
+        {
+            connection.read_message();
+            connection.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                             "chunked\r\n\r\n5\r\nhello\r\n");
+            connection.close();
+        });
+    client_fixture fixture;
+    CHECK(failure_in(fixture.call(server.address())).failure ==
+          attempt_failure::incomplete_answer);
+}
+
+TEST_CASE("an answer that only the connection's end delimits is no answer")
+{
+    scripted_server server(
+        [](test_connection& connection, std::size_t)
+        {
+            connection.read_message();
+            connection.write("HTTP/1.1 200 OK\r\n\r\nperhaps all");
+            connection.close();
+        });
+    client_fixture fixture;
+    CHECK(failure_in(fixture.call(server.address())).failure ==
+          attempt_failure::incomplete_answer);
+}
+
+TEST_CASE("a request is written once even if the connection closes after it")
+{
+    std::atomic<int> requests = 0;
+    scripted_server server(
+        [&](test_connection& connection, std::size_t number)
+        {
+            while (!connection.read_message().empty())
+            {
+                ++requests;
+                if (number > 0 || requests > 1)
+                {
+                    connection.close();
+                    return;
+                }
+                connection.write(ok_answer("first"));
+            }
+        });
+    client_fixture fixture;
+    CHECK(body_text(fixture.call(server.address())) == "first");
+    auto const failed = failure_in(fixture.call(server.address()));
+    CHECK(failed.failure == attempt_failure::closed_after_write);
+    CHECK(failed.is_written);
+    CHECK(requests == 2);
+    CHECK(server.connection_count() == 1);
+}
+
+TEST_CASE("an idle connection that the other side closed is not written to")
+{
+    std::atomic<bool> is_closed = false;
+    scripted_server server(
+        [&](test_connection& connection, std::size_t number)
+        {
+            auto const request = connection.read_message();
+            connection.write(ok_answer(body_of(request)));
+            if (number == 0)
+            {
+                connection.close();
+                is_closed = true;
+            }
+        });
+    client_fixture fixture;
+    CHECK(body_text(fixture.call(server.address(), "one")) == "one");
+    while (!is_closed)
+    {
+        std::this_thread::yield();
+    }
+    CHECK(body_text(fixture.call(server.address(), "two")) == "two");
+    CHECK(server.connection_count() == 2);
+    fixture.pool.close_idle();
+}
+
+TEST_CASE("nothing was written if no connection could be opened")
+{
+    client_fixture fixture;
+    auto const nobody = "127.0.0.1:" + std::to_string(free_ports());
+    auto const failed = failure_in(fixture.call(nobody));
+    CHECK(failed.failure == attempt_failure::connect_refused);
+    CHECK(!failed.is_written);
+    CHECK(!failure_in(fixture.call("nonsense")).is_written);
+}
+
+TEST_CASE("a late answer is never given to the next call")
+{
+    std::atomic<bool> may_answer = false;
+    scripted_server server(
+        [&](test_connection& connection, std::size_t number)
+        {
+            auto const request = connection.read_message();
+            while (number == 0 && !may_answer)
+            {
+                std::this_thread::yield();
+            }
+            connection.write(ok_answer(body_of(request)));
+        });
+    client_fixture fixture;
+    auto const late =
+        failure_in(fixture.call(server.address(), "first", short_time));
+    CHECK(late.failure == attempt_failure::timed_out);
+    CHECK(late.is_written);
+    may_answer = true;
+    CHECK(body_text(fixture.call(server.address(), "second")) == "second");
+    CHECK(server.connection_count() == 2);
+    fixture.pool.close_idle();
+}
+
+TEST_CASE("bytes after an answer end the connection's use")
+{
+    scripted_server server(
+        [](test_connection& connection, std::size_t)
+        {
+            auto const request = connection.read_message();
+            connection.write(ok_answer(body_of(request)) + ok_answer("stray"));
+            connection.read_message();
+        });
+    client_fixture fixture;
+    CHECK(body_text(fixture.call(server.address(), "one")) == "one");
+    CHECK(body_text(fixture.call(server.address(), "two")) == "two");
+    CHECK(server.connection_count() == 2);
+}
+
+TEST_CASE("answers to calls at the same time are not mixed up")
+{
+    scripted_server server(echo);
+    client_fixture fixture;
+    fixture.pool.warm(server.address(), 0, 50);
+    std::vector<std::vector<call_result>> results(50);
+    for (std::size_t number = 0; number < results.size(); ++number)
+    {
+        fixture.start(
+            results[number], server.address(), std::to_string(number));
+    }
+    fixture.run_until(
+        [&]
+        {
+            return std::all_of(results.begin(),
+                               results.end(),
+                               [](auto const& each) { return !each.empty(); });
+        });
+    for (std::size_t number = 0; number < results.size(); ++number)
+    {
+        REQUIRE(results[number].size() == 1);
+        CHECK(body_text(results[number].front()) == std::to_string(number));
+    }
+    fixture.pool.close_idle();
+}
+
+TEST_CASE("no more connections are opened than are allowed")
+{
+    std::atomic<bool> may_answer = false;
+    scripted_server server(
+        [&](test_connection& connection, std::size_t)
+        {
+            auto const request = connection.read_message();
+            while (!may_answer)
+            {
+                std::this_thread::yield();
+            }
+            connection.write(ok_answer(body_of(request)));
+        });
+    client_fixture fixture;
+    std::vector<call_result> results;
+    for (int number = 0; number < 3; ++number)
+    {
+        fixture.start(results, server.address(), "x");
+    }
+    fixture.run_until([&] { return !results.empty(); });
+    auto const failed = failure_in(results.front());
+    CHECK(failed.failure == attempt_failure::connection_limit);
+    CHECK(!failed.is_written);
+    may_answer = true;
+    fixture.run_until([&] { return results.size() == 3; });
+    REQUIRE(results.size() == 3);
+    CHECK(body_text(results[1]) == "x");
+    CHECK(server.connection_count() == 2);
+    fixture.pool.close_idle();
+}
+
+TEST_CASE("a cancelled call ends and its connection is not used again")
+{
+    std::atomic<bool> has_request = false;
+    scripted_server server(
+        [&](test_connection& connection, std::size_t)
+        {
+            connection.read_message();
+            has_request = true;
+            connection.read_all();
+        });
+    client_fixture fixture;
+    std::vector<call_result> results;
+    call_control control;
+    fixture.start(results, server.address(), "x", long_time, &control);
+    while (!has_request)
+    {
+        fixture.io.poll();
+    }
+    control.cancel();
+    fixture.run_until([&] { return !results.empty(); });
+    REQUIRE(results.size() == 1);
+    auto const failed = failure_in(results.front());
+    CHECK(failed.failure == attempt_failure::cancelled);
+    CHECK(failed.is_written);
+    CHECK(fixture.pool.connection_count() == 0);
+}
+
+TEST_CASE("an answer that is no HTTP or too large is malformed")
+{
+    for (std::string const& text :
+         {std::string("GARBAGE\r\n\r\n"),
+          "HTTP/1.1 200 OK\r\nContent-Length: 100001\r\n\r\n" +
+              std::string(100'001, 'x'),
+          "HTTP/1.1 200 OK\r\nX: " + std::string(5'000, 'x') + "\r\n\r\n"})
+    {
+        scripted_server server(
+            [&](test_connection& connection, std::size_t)
+            {
+                connection.read_message();
+                connection.write(text);
+                connection.read_all();
+            });
+        client_fixture fixture;
+        INFO(text.substr(0, 40));
+        CHECK(failure_in(fixture.call(server.address())).failure ==
+              attempt_failure::malformed_answer);
+    }
+}
+
+TEST_CASE("warm connections are opened before use and closed ones replaced")
+{
+    scripted_server server(echo);
+    client_fixture fixture;
+    fixture.pool.warm(server.address(), 2, 4);
+    figure_name const opened{
+        "connections_opened_total", "pool", "upstream", {}, {}};
+    fixture.run_until([&] { return fixture.figures.value_of(opened) == 2; });
+    CHECK(fixture.pool.connection_count() == 2);
+    CHECK(body_text(fixture.call(server.address(), "x")) == "x");
+    CHECK(fixture.figures.value_of(opened) == 2);
+    fixture.pool.close_idle();
+    CHECK(fixture.pool.connection_count() == 0);
+}
--- /dev/null
+++ b/src/drivers/tests/listener_test.cpp
@@ -0,0 +1,249 @@
+#include "driven_node.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plantaintally;
+using namespace plantaintally::drivers;
+
+namespace
+{
+
+constexpr std::string_view plain_request =
+    "GET /rota HTTP/1.1\r\nHost: rota-board\r\n\r\n";
+
+std::string ask(std::string const& address, std::string_view request)
+{
+    test_connection connection(address);
+    connection.write(request);
+    return connection.read_message();
+}
+
+bool has_status(std::string const& message, int status)
+{
+    return message.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
+}
+
+} // namespace
+
+TEST_CASE("a refusal states its reason, its verdict and when to come again")
+{
+    driven_node node(refuse_all);
+    auto const answer =
+        ask(node.caller_address(),
+            "GET /rota HTTP/1.1\r\nHost: rota-board\r\nX-Request-Id: "
+            "t1\r\n\r\n");
+    CHECK(has_status(answer, 503));
+    CHECK(header_of(answer, "X-Request-Id") == "t1");
+    CHECK(header_of(answer, "Plantaintally-Verdict") == "not-run");
+    CHECK(header_of(answer, "Plantaintally-Attempts") == "2");
+    CHECK(header_of(answer, "Retry-After") == "2");
+    CHECK(header_of(answer, "Content-Type") == "application/problem+json");
+    CHECK(header_of(answer, "Plantaintally-Report-Outcome").empty());
+    CHECK(body_of(answer) ==
+          R"({"detail":"too much work","reason":"overload","status":503,)"
+          R"("title":"overload","type":"urn:plantaintally:overload",)"
+          R"("verdict":"not-run"})");
+}
+
+TEST_CASE("a peer gets the whole report with a refusal")
+{
+    driven_node node(refuse_all);
+    auto const answer = ask(node.peer_address(),
+                            "GET /rota HTTP/1.1\r\nHost: rota-board\r\n"
+                            "Plantaintally-Hop-Urgency: 9\r\n\r\n");
+    CHECK(header_of(answer, "Plantaintally-Report-Outcome") == "\"not-run\"");
+    auto const arrived = node.wait_for<request_arrived>();
+    CHECK(arrived.source == request_source::peer);
+    REQUIRE(arrived.hop);
+    CHECK(arrived.hop->urgency == 9);
+}
+
+TEST_CASE("a request is handed over only when its body is whole")
+{
+    driven_node node(refuse_all);
+    test_connection connection(node.caller_address());
+    connection.write("POST /swap HTTP/1.1\r\nHost: duty-desk\r\n"
+                     "Content-Length: 5\r\n\r\nhal");
+    CHECK(has_status(ask(node.caller_address(), plain_request), 503));
+    CHECK(node.count<request_arrived>() == 1);
+    connection.write("f!");
+    CHECK(has_status(connection.read_message(), 503));
+    auto const arrived = node.wait_for<request_arrived>(2);
+    CHECK(arrived.head.body_bytes == 5);
+    CHECK(arrived.head.method == "POST");
+}
+
+TEST_CASE("one connection carries requests in turn, also pipelined ones")
+{
+    driven_node node(refuse_all);
+    test_connection connection(node.caller_address());
+    connection.write(std::string(plain_request) + std::string(plain_request));
+    CHECK(has_status(connection.read_message(), 503));
+    CHECK(has_status(connection.read_message(), 503));
+    connection.write(plain_request);
+    CHECK(has_status(connection.read_message(), 503));
+    CHECK(node.count<request_arrived>() == 3);
+}
+
+TEST_CASE("malformed input is refused, counted, and reaches no decision")
+{
+    driven_node node(refuse_all,
+                     [](settings::node_settings& chosen)
+                     {
+                         chosen.limits.max_header_bytes = 2'000;
+                         chosen.limits.max_body_bytes = 10;
+                     });
+    auto const address = node.caller_address();
+    auto const refused = [&](std::string_view request, int status)
+    {
+        auto const answer = ask(address, request);
+        INFO(request.substr(0, 60));
+        CHECK(has_status(answer, status));
+        CHECK(header_of(answer, "Plantaintally-Verdict") == "not-run");
+        CHECK(header_of(answer, "Content-Type") == "application/problem+json");
+    };
+    refused("NONSENSE\r\n\r\n", 400);
+    refused("GET / HTTP/1.1\r\n\r\n", 400);
+    refused("GET / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", 400);
+    refused("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(3'000, 'x') +
+                "\r\n\r\n",
+            431);
+    refused("PUT / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n"
+            "hello world",
+            413);
+    refused("PUT / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+            "b\r\nhello world\r\n0\r\n\r\n",
+            413);
+    CHECK(node.count<request_arrived>() == 0);
+    CHECK(node.metric(R"(input_refused_total{listener="caller",)"
+                      R"(reason="malformed"})") == "2");
+    CHECK(node.metric(R"(input_refused_total{listener="caller",)"
+                      R"(reason="bad-head"})") == "1");
+    CHECK(node.metric(R"(input_refused_total{listener="caller",)"
+                      R"(reason="body-too-large"})") == "2");
+    CHECK(node.metric(R"(input_refused_total{listener="caller",)"
+                      R"(reason="header-too-large"})") == "1");
+}
+
+TEST_CASE("slow senders are told so and cut off")
+{
+    driven_node node(refuse_all,
+                     [](settings::node_settings& chosen)
+                     {
+                         chosen.limits.header_timeout =
+                             std::chrono::milliseconds(50);
+                         chosen.limits.body_timeout =
+                             std::chrono::milliseconds(50);
+                     });
+    CHECK(has_status(ask(node.caller_address(), "GET / HT"), 408));
+    CHECK(has_status(ask(node.caller_address(),
+                         "PUT / HTTP/1.1\r\nHost: a\r\n"
+                         "Content-Length: 5\r\n\r\nhal"),
+                     408));
+    CHECK(node.count<request_arrived>() == 0);
+}
+
+TEST_CASE("idle connections are closed without a word")
+{
+    driven_node node(refuse_all,
+                     [](settings::node_settings& chosen) {
+                         chosen.limits.idle_timeout =
+                             std::chrono::milliseconds(50);
+                     });
+    test_connection connection(node.caller_address());
+    CHECK(connection.read_all().empty());
+}
+
+TEST_CASE("connections beyond the limit are told so")
+{
+    driven_node node(refuse_all,
+                     [](settings::node_settings& chosen)
+                     { chosen.limits.max_caller_connections = 1; });
+    test_connection first(node.caller_address());
+    first.write(plain_request);
+    CHECK(has_status(first.read_message(), 503));
+    test_connection second(node.caller_address());
+    auto const answer = second.read_message();
+    CHECK(has_status(answer, 503));
+    CHECK(body_of(answer).find("too many connections") != std::string::npos);
+    first.close();
+    while (node.metric(R"(connections{listener="caller"})") != "0")
+    {
+        std::this_thread::yield();
+    }
+    CHECK(ask(node.caller_address(), plain_request).find("too much work") !=
+          std::string::npos);
+}
+
+TEST_CASE("a caller that closes its connection is reported once")
+{
+    driven_node node([](event const&) { return effects(); });
+    test_connection connection(node.caller_address());
+    connection.write(plain_request);
+    auto const arrived = node.wait_for<request_arrived>();
+    connection.reset();
+    CHECK(node.wait_for<caller_gone>().exchange == arrived.exchange);
+}
+
+TEST_CASE("the local listener checks what the upstream announces")
+{
+    driven_node node(refuse_all);
+    auto const post = [&](std::string const& path, std::string const& body)
+    {
+        return ask(node.local_address(),
+                   "POST /plantaintally/v1/" + path +
+                       " HTTP/1.1\r\nHost: node\r\nContent-Length: " +
+                       std::to_string(body.size()) + "\r\n\r\n" + body);
+    };
+    CHECK(has_status(post("announce",
+                          R"({"service":"duty-desk","slots":300,)"
+                          R"("address":"127.0.0.1:8080","connections":1800,)"
+                          R"("cold_start_ms":2000,"later_field":1})"),
+                     200));
+    CHECK(
+        node.wait_for<upstream_announced>().announcement ==
+        upstream_announcement{
+            "duty-desk", "127.0.0.1:8080", 300, 1800, std::chrono::seconds(2)});
+    for (auto const* const wrong :
+         {"",
+          "[]",
+          R"({"service":"a"})",
+          R"({"service":"a","address":"10.0.0.1:80","slots":1,)"
+          R"("connections":1})",
+          R"({"service":"a","address":"127.0.0.1:80","slots":0,)"
+          R"("connections":1})",
+          R"({"service":"a","address":"127.0.0.1:80","slots":1.5,)"
+          R"("connections":1})"})
+    {
+        INFO(wrong);
+        CHECK(has_status(post("announce", wrong), 400));
+    }
+    CHECK(node.count<upstream_announced>() == 1);
+    CHECK(has_status(post("drain", ""), 200));
+    node.wait_for<upstream_drain_requested>();
+    CHECK(has_status(post("gone", ""), 200));
+    node.wait_for<upstream_gone>();
+    CHECK(has_status(post("nonsense", ""), 404));
+    CHECK(has_status(post("command", R"({"text":7})"), 400));
+}
+
+TEST_CASE("an operator's command is answered when the reducer answers")
+{
+    driven_node node(
+        [](event const& happened) -> effects
+        {
+            auto const* const asked = std::get_if<operator_command>(&happened);
+            if (asked == nullptr)
+            {
+                return {};
+            }
+            return {answer_operator{
+                asked->command, "ok", asked->text, {{"a"}, {{"1"}}}}};
+        });
+    auto const answer =
+        ask(node.local_address(),
+            "POST /plantaintally/v1/command HTTP/1.1\r\nHost: node\r\n"
+            "Content-Length: 21\r\n\r\n{\"text\":\"show ranks\"}");
+    CHECK(body_of(answer) == R"({"columns":["a"],"message":"show ranks",)"
+                             R"("rows":[["1"]],"status":"ok"})");
+}
--- /dev/null
+++ b/src/drivers/tests/runtime_test.cpp
@@ -0,0 +1,387 @@
+#include "driven_node.hpp"
+#include "drivers/internal/control_link.hpp"
+
+#include "codec/control_codec.hpp"
+#include "codec/trace_codec.hpp"
+
+#include <catch2/catch.hpp>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/push.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+using namespace plantaintally;
+using namespace plantaintally::drivers;
+
+namespace
+{
+
+constexpr attempt_id first_attempt{11};
+constexpr std::string_view booking =
+    "POST /swap HTTP/1.1\r\nHost: duty-desk\r\nIdempotency-Key: k1\r\n"
+    "X-Request-Id: t1\r\nX-Passed: yes\r\nPlantaintally-Hop-Rank: \"x\"\r\n"
+    "Content-Length: 4\r\n\r\nbody";
+
+dispatch_request dispatch_to(std::string address, exchange_id exchange)
+{
+    dispatch_request wanted;
+    wanted.attempt = first_attempt;
+    wanted.exchange = exchange;
+    wanted.upstream_address = std::move(address);
+    wanted.trace_id = "t1";
+    wanted.time_left = std::chrono::milliseconds(900);
+    wanted.timeout = hang_limit;
+    return wanted;
+}
+
+// Sends requests of callers to the upstream and passes its answers on.
+struct upstream_reducer
+{
+    std::string upstream_address;
+    exchange_id exchange;
+
+    effects operator()(event const& happened)
+    {
+        if (auto const* const arrived = std::get_if<request_arrived>(&happened))
+        {
+            this->exchange = arrived->exchange;
+            return {warm_connections{this->upstream_address, 0, 4},
+                    dispatch_to(this->upstream_address, arrived->exchange)};
+        }
+        if (auto const* const ended = std::get_if<attempt_answered>(&happened))
+        {
+            hop_report report;
+            report.outcome = verdict::ran;
+            report.attempts = 1;
+            return {answer_from_attempt{this->exchange, ended->attempt, report},
+                    release_attempt{ended->attempt}};
+        }
+        return {};
+    }
+};
+
+} // namespace
+
+TEST_CASE("an upstream's answer passes whole, with the node's headers")
+{
+    std::string received;
+    scripted_server upstream(
+        [&](test_connection& connection, std::size_t)
+        {
+            received = connection.read_message();
+            connection.write("HTTP/1.1 201 Created\r\nX-Own: 1\r\n"
+                             "Plantaintally-Verdict: not-run\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n");
+            connection.read_message();
+        });
+    driven_node node(upstream_reducer{upstream.address(), {}});
+    test_connection caller(node.caller_address());
+    caller.write(booking);
+    auto const answer = caller.read_message();
+    CHECK(answer.starts_with("HTTP/1.1 201 "));
+    CHECK(body_of(answer) == "hello world");
+    CHECK(header_of(answer, "X-Own") == "1");
+    CHECK(header_of(answer, "X-Request-Id") == "t1");
+    CHECK(header_of(answer, "Plantaintally-Verdict") == "ran");
+    CHECK(header_of(answer, "Plantaintally-Attempts") == "1");
+    CHECK(received.starts_with("POST /swap HTTP/1.1\r\n"));
+    CHECK(body_of(received) == "body");
+    CHECK(header_of(received, "X-Passed") == "yes");
+    CHECK(header_of(received, "Idempotency-Key") == "k1");
+    CHECK(header_of(received, "Plantaintally-Deadline-Ms") == "900");
+    CHECK(header_of(received, "Plantaintally-Hop-Rank").empty());
+    CHECK(node.metric("retained_answer_bytes") == "0");
+}
+
+TEST_CASE("a HEAD answer keeps the stated length and has no body")
+{
+    scripted_server upstream(
+        [](test_connection& connection, std::size_t)
+        {
+            connection.read_message();
+            connection.write("HTTP/1.1 200 OK\r\nContent-Length: 77\r\n\r\n");
+            connection.read_message();
+        });
+    driven_node node(upstream_reducer{upstream.address(), {}});
+    test_connection caller(node.caller_address());
+    caller.write("HEAD /rota HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+    auto const answer = caller.read_all();
+    CHECK(header_of(answer, "Content-Length") == "77");
+    CHECK(body_of(answer).empty());
+}
+
+TEST_CASE("an upstream that refuses before running says so to the reducer")
+{
+    std::string verdict_line = "Plantaintally-Verdict: not-run\r\n";
+    for (bool const is_refusal : {true, false})
+    {
+        scripted_server upstream(
+            [&](test_connection& connection, std::size_t)
+            {
+                connection.read_message();
+                connection.write("HTTP/1.1 503 Busy\r\n" +
+                                 (is_refusal ? verdict_line : "") +
+                                 "Content-Length: 0\r\n\r\n");
+                connection.read_message();
+            });
+        driven_node node(upstream_reducer{upstream.address(), {}});
+        test_connection caller(node.caller_address());
+        caller.write(booking);
+        CHECK(caller.read_message().starts_with("HTTP/1.1 503 "));
+        CHECK(node.wait_for<attempt_answered>().is_upstream_refusal ==
+              is_refusal);
+    }
+}
+
+TEST_CASE("requests to a peer carry the hop's fields and bring a report back")
+{
+    driven_node callee(refuse_all);
+    driven_node node(
+        [&](event const& happened) -> effects
+        {
+            auto const* const arrived = std::get_if<request_arrived>(&happened);
+            if (arrived == nullptr)
+            {
+                return {};
+            }
+            forward_request wanted;
+            wanted.attempt = first_attempt;
+            wanted.exchange = arrived->exchange;
+            wanted.peer_address = callee.peer_address();
+            wanted.hop.rank = "booking";
+            wanted.hop.retries_left = 2;
+            wanted.head = arrived->head;
+            wanted.head.time_left = std::chrono::milliseconds(700);
+            wanted.timeout = hang_limit;
+            return {wanted};
+        });
+    test_connection caller(node.caller_address());
+    caller.write(booking);
+    auto const arrived = callee.wait_for<request_arrived>();
+    CHECK(arrived.source == request_source::peer);
+    CHECK(arrived.head.trace_id == "t1");
+    CHECK(arrived.head.service == "duty-desk");
+    CHECK(arrived.head.caller == "127.0.0.1");
+    CHECK(arrived.head.idempotency_key == "k1");
+    CHECK(arrived.head.time_left == std::chrono::milliseconds(700));
+    REQUIRE(arrived.hop);
+    CHECK(arrived.hop->rank == "booking");
+    auto const answered = node.wait_for<attempt_answered>();
+    CHECK(answered.status == 503);
+    REQUIRE(answered.report);
+    CHECK(answered.report->outcome == verdict::not_run);
+    CHECK(answered.report->reason == refusal::overload);
+    CHECK(answered.report->retry_after == std::chrono::milliseconds(1'200));
+}
+
+TEST_CASE("an answer beyond the retained bytes is not kept")
+{
+    std::string const large(2U << 20U, 'x');
+    scripted_server upstream(
+        [&](test_connection& connection, std::size_t)
+        {
+            connection.read_message();
+            connection.write(ok_answer(large));
+            connection.read_message();
+        });
+    driven_node node(upstream_reducer{upstream.address(), {}},
+                     [](settings::node_settings& chosen)
+                     { chosen.limits.max_retained_bytes = 1U << 20U; });
+    test_connection caller(node.caller_address());
+    caller.write(booking);
+    auto const failed = node.wait_for<attempt_failed>();
+    CHECK(failed.failure == attempt_failure::incomplete_answer);
+    CHECK(failed.is_written);
+}
+
+TEST_CASE("control messages reach the other node")
+{
+    driven_node receiver(refuse_all);
+    once::message const asked = once::key_question{"duty-desk/0", "k1", 3, 4};
+    driven_node sender(
+        [&](event const& happened) -> effects
+        {
+            if (!std::holds_alternative<timer_fired>(happened))
+            {
+                return {};
+            }
+            return {send_control{receiver.peer_address(), asked},
+                    send_control{"nonsense", asked}};
+        });
+    auto const received = receiver.wait_for<control_received>();
+    CHECK(received.envelope.sender.address == sender.peer_address());
+    CHECK(received.envelope.sent_at == hybrid_time{7, 0});
+    CHECK(received.envelope.message == control_message(asked));
+    CHECK(sender.metric(R"(control_dropped_total{reason="link-failed"})") ==
+          "1");
+}
+
+TEST_CASE("bytes that are no control message are counted and dropped")
+{
+    driven_node node(refuse_all);
+    nng_socket socket = NNG_SOCKET_INITIALIZER;
+    REQUIRE(nng_push0_open(&socket) == 0);
+    auto const address = control_endpoint(node.peer_address());
+    auto const url = "tcp://" + settings::to_string(address.value());
+    REQUIRE(nng_dial(socket, url.c_str(), nullptr, 0) == 0);
+    std::string garbage = "garbage";
+    REQUIRE(nng_send(socket, garbage.data(), garbage.size(), 0) == 0);
+    control_envelope const envelope{{"a:1", 1}, {}, once::message()};
+    auto bytes = codec::encode_control(envelope);
+    REQUIRE(nng_send(socket, bytes.data(), bytes.size(), 0) == 0);
+    CHECK(node.wait_for<control_received>().envelope.sender.address == "a:1");
+    nng_close(socket);
+    CHECK(node.metric(R"(control_malformed_total{reason="undecodable"})") ==
+          "1");
+    CHECK(node.count<control_received>() == 1);
+}
+
+TEST_CASE("a store that can't be reached leaves nothing open")
+{
+    driven_node node(
+        [](event const& happened) -> effects
+        {
+            if (!std::holds_alternative<timer_fired>(happened))
+            {
+                return {};
+            }
+            call_store wanted;
+            wanted.call = {5};
+            wanted.client = plantaintally::store_client::once;
+            wanted.request = store_compare_and_set{"k", 0, "v", ""};
+            return {wanted};
+        });
+    auto const replied = node.wait_for<store_replied>();
+    CHECK(replied.call == store_call_id{5});
+    CHECK(replied.client == plantaintally::store_client::once);
+    CHECK(replied.result == store_result(store_unavailable{false}));
+}
+
+TEST_CASE("a write whose answer is lost leaves open whether it was made")
+{
+    scripted_server store(
+        [](test_connection& connection, std::size_t)
+        {
+            connection.read_message();
+            connection.close();
+        });
+    auto const address = settings::parse_endpoint(store.address()).value();
+    driven_node node(
+        [](event const& happened) -> effects
+        {
+            if (!std::holds_alternative<timer_fired>(happened))
+            {
+                return {};
+            }
+            call_store wanted;
+            wanted.request = store_compare_and_set{"k", 0, "v", ""};
+            return {wanted};
+        },
+        [&](settings::node_settings& chosen)
+        { chosen.platform.address = address; });
+    CHECK(node.wait_for<store_replied>().result ==
+          store_result(store_unavailable{true}));
+}
+
+TEST_CASE("the timer fires at the time that was asked for last")
+{
+    driven_node node(
+        [count = 0](event const& happened) mutable -> effects
+        {
+            if (!std::holds_alternative<timer_fired>(happened) || ++count > 2)
+            {
+                return {};
+            }
+            return {wake_at{instant::max()}, wake_at{instant{}}};
+        });
+    node.wait_for<timer_fired>(3);
+    CHECK(node.count<timer_fired>() == 3);
+}
+
+TEST_CASE("a planned stop is asked for once and finishes what is in flight")
+{
+    exchange_id waiting;
+    auto const reduce = [&](event const& happened) -> effects
+    {
+        if (auto const* const arrived = std::get_if<request_arrived>(&happened))
+        {
+            waiting = arrived->exchange;
+            return {};
+        }
+        if (std::holds_alternative<upstream_gone>(happened))
+        {
+            refuse_request refused{waiting, 503, "finished late", {}};
+            return {refused, exit_process{}};
+        }
+        return {};
+    };
+    driven_node node(reduce, {}, true);
+    test_connection idle(node.caller_address());
+    test_connection caller(node.caller_address());
+    caller.write(booking);
+    node.wait_for<request_arrived>();
+    node.request_stop();
+    node.request_stop();
+    node.wait_for<stop_requested>();
+    test_connection local(node.local_address());
+    local.write("POST /plantaintally/v1/gone HTTP/1.1\r\nHost: n\r\n"
+                "Content-Length: 0\r\n\r\n");
+    auto const answer = caller.read_message();
+    CHECK(body_of(answer).find("finished late") != std::string::npos);
+    CHECK(header_of(answer, "Connection") == "close");
+    caller.close();
+    local.read_all();
+    node.join();
+    CHECK(node.count<stop_requested>() == 1);
+}
+
+TEST_CASE("every event is recorded and can be read again")
+{
+    auto const file = "trace_" + std::to_string(free_ports()) + ".jsonl";
+    {
+        driven_node node(refuse_all,
+                         [&](settings::node_settings& chosen)
+                         { chosen.trace.file = file; });
+        test_connection caller(node.caller_address());
+        caller.write(booking);
+        caller.read_message();
+    }
+    std::ifstream lines(file);
+    std::string line;
+    std::vector<event> read;
+    while (std::getline(lines, line))
+    {
+        auto const recorded = codec::decode_event(line);
+        REQUIRE(recorded.has_value());
+        read.push_back(recorded.value().happened);
+    }
+    std::remove(file.c_str());
+    REQUIRE(read.size() >= 3);
+    CHECK(std::holds_alternative<timer_fired>(read.front()));
+    CHECK(std::get<request_arrived>(read[1]).head.trace_id == "t1");
+    CHECK(std::holds_alternative<stop_requested>(read.back()));
+}
+
+TEST_CASE("a reducer that throws is counted and the node goes on")
+{
+    driven_node node(
+        [](event const& happened) -> effects
+        {
+            if (std::holds_alternative<upstream_gone>(happened))
+            {
+                throw std::runtime_error("broken rule");
+            }
+            return refuse_all(happened);
+        });
+    test_connection local(node.local_address());
+    local.write("POST /plantaintally/v1/gone HTTP/1.1\r\nHost: n\r\n"
+                "Content-Length: 0\r\n\r\n");
+    CHECK(local.read_message().starts_with("HTTP/1.1 200 "));
+    test_connection caller(node.caller_address());
+    caller.write(booking);
+    CHECK(caller.read_message().starts_with("HTTP/1.1 503 "));
+    CHECK(node.metric("reducer_failures_total") == "1");
+}
--- /dev/null
+++ b/src/drivers/tests/scripted_server.cpp
@@ -0,0 +1,217 @@
+#include "scripted_server.hpp"
+
+#include "settings/settings.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+
+namespace plantaintally::drivers
+{
+
+namespace
+{
+
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+void set_hang_limit(tcp::socket& socket)
+{
+    timeval const limit{hang_limit.count(), 0};
+    setsockopt(
+        socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+}
+
+std::string lower(std::string text)
+{
+    std::transform(text.begin(),
+                   text.end(),
+                   text.begin(),
+                   [](unsigned char letter)
+                   { return static_cast<char>(std::tolower(letter)); });
+    return text;
+}
+
+tcp::endpoint loopback(std::uint16_t port)
+{
+    return {boost::asio::ip::address_v4::loopback(), port};
+}
+
+} // namespace
+
+test_connection::test_connection(tcp::socket connected)
+    : socket(std::move(connected))
+{
+    set_hang_limit(this->socket);
+}
+
+test_connection::test_connection(std::string const& address) : socket(this->io)
+{
+    auto const parsed = settings::parse_endpoint(address);
+    error_code ignored;
+    this->socket.connect(loopback(parsed.value().port), ignored);
+    set_hang_limit(this->socket);
+}
+
+void test_connection::write(std::string_view text)
+{
+    error_code ignored;
+    boost::asio::write(this->socket, boost::asio::buffer(text), ignored);
+}
+
+bool test_connection::read_more()
+{
+    std::array<char, 4096> chunk{};
+    auto const count =
+        ::recv(this->socket.native_handle(), chunk.data(), chunk.size(), 0);
+    if (count <= 0)
+    {
+        return false;
+    }
+    this->rest.append(chunk.data(), static_cast<std::size_t>(count));
+    return true;
+}
+
+std::string test_connection::read_message()
+{
+    std::size_t head = std::string::npos;
+    while ((head = this->rest.find("\r\n\r\n")) == std::string::npos)
+    {
+        if (!this->read_more())
+        {
+            return {};
+        }
+    }
+    auto const length = header_of(this->rest, "Content-Length");
+    auto const body = length.empty() ? 0 : std::stoul(length);
+    auto const whole = head + 4 + body;
+    while (this->rest.size() < whole)
+    {
+        if (!this->read_more())
+        {
+            return {};
+        }
+    }
+    auto message = this->rest.substr(0, whole);
+    this->rest.erase(0, whole);
+    return message;
+}
+
+std::string test_connection::read_all()
+{
+    while (this->read_more())
+    {
+    }
+    return std::move(this->rest);
+}
+
+void test_connection::close()
+{
+    error_code ignored;
+    this->socket.close(ignored);
+}
+
+void test_connection::reset()
+{
+    error_code ignored;
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    this->socket.close(ignored);
+}
+
+scripted_server::scripted_server(script answers)
+    : answer(std::move(answers)), acceptor(this->io, loopback(0)),
+      accepting([this] { this->accept(); })
+{
+}
+
+scripted_server::~scripted_server()
+{
+    this->is_ending = true;
+    test_connection const wake(this->address());
+    this->accepting.join();
+    for (auto& each : this->served)
+    {
+        each.join();
+    }
+}
+
+std::string scripted_server::address() const
+{
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
+}
+
+std::size_t scripted_server::connection_count() const
+{
+    return this->connections;
+}
+
+void scripted_server::accept()
+{
+    while (true)
+    {
+        error_code problem;
+        auto accepted = this->acceptor.accept(problem);
+        if (problem || this->is_ending)
+        {
+            return;
+        }
+        auto const number = this->connections++;
+        this->served.emplace_back(
+            [this, number, accepted = std::move(accepted)]() mutable
+            {
+                test_connection connection(std::move(accepted));
+                this->answer(connection, number);
+            });
+    }
+}
+
+std::string header_of(std::string const& message, std::string const& name)
+{
+    auto const head = message.substr(0, message.find("\r\n\r\n") + 2);
+    auto const at = lower(head).find("\r\n" + lower(name) + ":");
+    if (at == std::string::npos)
+    {
+        return {};
+    }
+    auto const begin = head.find_first_not_of(' ', at + name.size() + 3);
+    return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+std::string body_of(std::string const& message)
+{
+    return message.substr(message.find("\r\n\r\n") + 4);
+}
+
+std::string ok_answer(std::string_view body)
+{
+    return "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + std::string(body);
+}
+
+std::uint16_t free_ports()
+{
+    constexpr int tries = 100;
+    boost::asio::io_context io;
+    for (int attempt = 0; attempt < tries; ++attempt)
+    {
+        tcp::acceptor const first(io, loopback(0));
+        auto const port = first.local_endpoint().port();
+        error_code problem;
+        tcp::acceptor second(io);
+        second.open(tcp::v4(), problem);
+        second.bind(loopback(port + 1), problem);
+        if (!problem)
+        {
+            return port;
+        }
+    }
+    return 0;
+}
+
+} // namespace plantaintally::drivers
