--- a/src/codec/tests/control_codec_test.cpp
+++ b/src/codec/tests/control_codec_test.cpp
@@ -145,10 +145,12 @@
         pack({{"sender", {{"address", "a:1"}, {"colour", "red"}}},
               {"shape", {1, 2, {{"x", nullptr}}}},
               {"message",
-               {{"kind", "epoch_moved"}, {"epoch", 4}, {"new_field", true}}}}));
+               {{"kind", "epoch_question"},
+                {"known_revision", 4},
+                {"new_field", true}}}}));
     REQUIRE(read.has_value());
     CHECK(read.value().message ==
-          control_message(once::message(once::epoch_moved{"", 4})));
+          control_message(once::message(once::epoch_question{"", 4})));
 }
 
 TEST_CASE("unknown kinds and wrong types of fields are told")
@@ -160,10 +162,10 @@
     };
     CHECK(message_of({{"kind", "telepathy"}}) ==
           "control message: message: unknown kind 'telepathy'");
-    CHECK(message_of({{"kind", "epoch_moved"}, {"epoch", -1}}) ==
-          "control message: message: epoch: number out of range");
-    CHECK(message_of({{"kind", "epoch_moved"}, {"epoch", 1.5}}) ==
-          "control message: message: epoch: not an integer");
+    CHECK(message_of({{"kind", "epoch_question"}, {"known_revision", -1}}) ==
+          "control message: message: known_revision: number out of range");
+    CHECK(message_of({{"kind", "epoch_question"}, {"known_revision", 1.5}}) ==
+          "control message: message: known_revision: not an integer");
     CHECK(message_of({{"kind", "key_answer"}, {"history", "forgotten"}}) ==
           "control message: message: history: unknown value 'forgotten'");
     CHECK(message_of(17) == "control message: message: not an object");
--- a/src/codec/tests/trace_codec_test.cpp
+++ b/src/codec/tests/trace_codec_test.cpp
@@ -31,7 +31,7 @@
     hop_context hop;
     hop.rank = "booking";
     hop.is_probe = true;
-    once::message const moved = once::epoch_moved{"bookings/0", 3};
+    once::message const moved = once::epoch_question{"bookings/0", 3};
     return {request_arrived{{4}, request_source::peer, sample_head(), hop},
             request_arrived{{5}, request_source::caller, {}, std::nullopt},
             caller_gone{{5}},
--- a/src/node/internal/operator_hook.cpp
+++ b/src/node/internal/operator_hook.cpp
@@ -1,16 +1,129 @@
 #include "node/internal/request_path.hpp"
 
+#include "query/language.hpp"
+
+#include <map>
+#include <tuple>
+#include <utility>
+
 namespace plantaintally::node
 {
 
+namespace
+{
+
+// The counts of one bucket as samples, one a rank, service and caller.
+void add_samples(count_bucket const& bucket,
+                 std::vector<query::work_sample>& samples)
+{
+    using group = std::tuple<std::string_view, std::string_view>;
+    std::map<group, query::work_sample> grouped;
+    for (auto const& [key, value] : bucket.values)
+    {
+        query::work_sample& sample = grouped[{key.rank, key.service}];
+        sample.begin = bucket.start;
+        sample.rank = key.rank;
+        sample.service = key.service;
+        switch (key.kind)
+        {
+        case count_kind::admitted:
+            sample.admitted += value;
+            break;
+        case count_kind::shed:
+            sample.shed += value;
+            break;
+        case count_kind::queued:
+            sample.queued += value;
+            break;
+        case count_kind::retried:
+            sample.retried += value;
+            break;
+        case count_kind::refused:
+            sample.refused += value;
+            break;
+        default:
+            break;
+        }
+    }
+    for (auto& [key, sample] : grouped)
+    {
+        samples.push_back(std::move(sample));
+    }
+}
+
+// What the node's own state lends to a query, with the lists that have to be
+// made for it.
+struct lent_view
+{
+    std::vector<membership::member_record> fleet;
+    std::vector<query::work_sample> samples;
+    std::string status;
+
+    explicit lent_view(state const& node)
+        : fleet(membership::all_members(node.membership)),
+          status(status_of(node))
+    {
+        for (count_bucket const& bucket : node.counted.buckets)
+        {
+            add_samples(bucket, this->samples);
+        }
+    }
+
+    [[nodiscard]] query::local_view of(state const& node, instant now) const
+    {
+        auto const age = configuration::confirmed_age(node.configuration, now);
+        return {node.own.self,
+                node.own.availability_zone,
+                node.own_service,
+                this->status,
+                configuration::current(node.configuration),
+                age.value_or(now.time_since_epoch()),
+                this->fleet,
+                this->samples,
+                node.journal};
+    }
+
+private:
+    static std::string status_of(state const& node)
+    {
+        if (!configuration::is_ready(node.configuration))
+        {
+            return "starting";
+        }
+        if (lifecycle::takes_work(node.lifecycle))
+        {
+            return "ready";
+        }
+        return node.lifecycle.upstream ? "draining" : "no-upstream";
+    }
+};
+
+} // namespace
+
 void handle_command(state& node, operator_command const& asked, step& current)
 {
-    static_cast<void>(node);
-    answer_operator effect;
-    effect.command = asked.command;
-    effect.status = "invalid";
-    effect.message = "operators' commands are not available";
-    current.out.push_back(std::move(effect));
+    auto const parsed = query::parse_statement(asked.text);
+    if (parsed.has_error())
+    {
+        current.out.push_back(answer_operator{
+            asked.command, "invalid", parsed.error().message, {}});
+        return;
+    }
+    if (auto const* change =
+            std::get_if<configuration::change>(&parsed.value()))
+    {
+        record(current, {}, "configuration", "change-submitted", asked.text);
+        configuration::submit_change(
+            node.configuration, asked.command, *change, current);
+        return;
+    }
+    lent_view const lent(node);
+    query::start_query(node.queries,
+                       asked.command,
+                       parsed.value(),
+                       asked.text,
+                       lent.of(node, current.now.monotonic),
+                       current);
 }
 
 void handle_query(state& node,
@@ -18,10 +131,12 @@
                   query::message const& received,
                   step& current)
 {
-    static_cast<void>(node);
-    static_cast<void>(sender);
-    static_cast<void>(received);
-    static_cast<void>(current);
+    lent_view const lent(node);
+    query::handle_message(node.queries,
+                          sender,
+                          received,
+                          lent.of(node, current.now.monotonic),
+                          current);
 }
 
 } // namespace plantaintally::node
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -84,6 +84,7 @@
     auto const peers = draw_gossip_peers(node, current);
     configuration::handle_time(node.configuration, peers, current);
     once::handle_time(node.once, current);
+    query::handle_time(node.queries, current);
     serve_queue(node, current);
     handle_exchange_timers(node, current);
 }
@@ -195,6 +196,7 @@
     take_earlier(membership::next_deadline(node.membership), earliest);
     take_earlier(configuration::next_deadline(node.configuration), earliest);
     take_earlier(once::next_deadline(node.once), earliest);
+    take_earlier(query::next_deadline(node.queries), earliest);
     take_earlier(lifecycle::next_deadline(node.lifecycle), earliest);
     take_earlier(admission::next_deadline(node.admission, now), earliest);
     if (!node.table.timers.empty())
@@ -217,6 +219,18 @@
     current.out.push_back(wake_at{earliest});
 }
 
+// Keeps the step's entries for queries; the drivers log them.
+void keep_entries(state& node, effects const& out)
+{
+    for (effect const& asked : out)
+    {
+        if (auto const* recorded = std::get_if<record_entry>(&asked))
+        {
+            timeline::append(node.journal, recorded->entry);
+        }
+    }
+}
+
 } // namespace
 
 effects reduce(state& node, event const& happened, moment const& now)
@@ -231,6 +245,7 @@
     serve_queue(node, current);
     finish_stop(node, current);
     ask_wake(node, current);
+    keep_entries(node, out);
     return out;
 }
 
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -11,8 +11,10 @@
 #include "node/counters.hpp"
 #include "node/exchange.hpp"
 #include "once/once.hpp"
+#include "query/query.hpp"
 #include "retry/policy.hpp"
 #include "routing/routing.hpp"
+#include "timeline/journal.hpp"
 
 #include <string>
 #include <vector>
@@ -51,6 +53,8 @@
     retry::state retries;
     exchange_table table;
     counters counted;
+    query::state queries;
+    timeline::journal journal;
     // The service of the own upstream, also after the upstream has gone.
     std::string own_service;
     // The members of the own service that the at-most-once protocol knows.
