--- a/src/once/tests/fleet.cpp
+++ b/src/once/tests/fleet.cpp
@@ -71,7 +71,8 @@
     return std::pair(other.at, other.order) < std::pair(this->at, this->order);
 }
 
-fleet::fleet(std::size_t nodes, std::uint64_t seed) : chance(seed)
+fleet::fleet(std::size_t nodes, std::uint64_t seed, std::uint32_t limit)
+    : key_limit(limit), chance(seed)
 {
     for (std::size_t i = 0; i < nodes; ++i)
     {
@@ -195,7 +196,7 @@
             this->handle_at(
                 address,
                 incarnation,
-                [&](process& receiver, step& current)
+                [sender, content](process& receiver, step& current)
                 { handle_message(receiver.once, sender, content, current); });
         });
 }
@@ -246,7 +247,7 @@
                        this->handle_at(
                            address,
                            incarnation,
-                           [&](process& caller, step& current) {
+                           [call, result](process& caller, step& current) {
                                handle_store(caller.once, call, result, current);
                            });
                    });
@@ -378,6 +379,7 @@
     std::swap(known, started);
     known.once.own.self = {address, incarnation};
     known.once.own.availability_zone = zone_of(address);
+    known.once.own.key_limit = this->key_limit;
     known.random = random_source(stable_hash(address, incarnation));
     known.monotonic_base = seconds(1 + draw_below(this->chance, 1000));
     known.monotonic_rate =
@@ -399,6 +401,14 @@
     this->broken_links.insert(std::minmax(first, second));
 }
 
+void fleet::isolate(std::string const& address)
+{
+    for (std::string const& other : this->addresses())
+    {
+        this->disconnect(address, other);
+    }
+}
+
 void fleet::connect_all()
 {
     this->broken_links.clear();
@@ -447,7 +457,7 @@
                     { hand_over(leaving.once, current); });
 }
 
-std::string fleet::home(std::string const& key) const
+epoch const* fleet::newest_known() const
 {
     epoch const* newest = nullptr;
     for (auto const& [address, known] : this->processes)
@@ -464,6 +474,12 @@
             }
         }
     }
+    return newest;
+}
+
+std::string fleet::home(std::string const& key) const
+{
+    epoch const* newest = this->newest_known();
     node_id const* found = newest == nullptr ? nullptr : home_of(*newest, key);
     return found == nullptr ? std::string() : found->address;
 }
@@ -487,9 +503,4 @@
     return found == this->allowed.end() ? 0 : found->second;
 }
 
-std::vector<std::string> const& fleet::find_false_refusals() const
-{
-    return this->false_refusals;
-}
-
 } // namespace plantaintally::once::test
--- a/src/once/tests/fleet.hpp
+++ b/src/once/tests/fleet.hpp
@@ -53,7 +53,9 @@
 class fleet
 {
 public:
-    explicit fleet(std::size_t nodes, std::uint64_t seed = 1);
+    explicit fleet(std::size_t nodes,
+                   std::uint64_t seed = 1,
+                   std::uint32_t key_limit = 1000);
 
     // Runs every event until `span` from now.
     void run_for(duration span);
@@ -70,6 +72,8 @@
     void pause(std::string const& address, duration span);
     // Messages between these two are lost until connect().
     void disconnect(std::string const& first, std::string const& second);
+    // No message reaches the node or comes from it until connect_all().
+    void isolate(std::string const& address);
     void connect_all();
     // Members as every node sees them; all live processes but `without`.
     void spread_members(std::set<std::string> const& without = {});
@@ -85,8 +89,8 @@
     std::vector<std::string> addresses() const;
     // Executions allowed of a key that were not reported as not run.
     int executions(std::string const& key) const;
-    // Keys for which not_run was said although an execution was allowed.
-    std::vector<std::string> const& find_false_refusals() const;
+    // The newest epoch that any node knows; null if there is none.
+    epoch const* newest_known() const;
 
     network_options network;
     // The store: down; or every write takes effect but its answer is lost.
@@ -95,6 +99,8 @@
     std::size_t store_reads = 0;
     std::size_t store_writes = 0;
     std::map<std::string, store_entry> store;
+    // Keys for which not_run was said although an execution was allowed.
+    std::vector<std::string> false_refusals;
 
 private:
     struct asked_claim
@@ -129,6 +135,7 @@
     std::vector<membership::member_record>
     view(std::set<std::string> const& without) const;
 
+    std::uint32_t key_limit = 0;
     instant time{};
     std::uint64_t orders = 0;
     std::uint64_t exchanges = 0;
@@ -141,7 +148,6 @@
     std::map<std::string, int> allowed;
     std::map<exchange_id, asked_claim> asked;
     std::map<exchange_id, claim> resolutions;
-    std::vector<std::string> false_refusals;
 };
 
 } // namespace plantaintally::once::test
