Let a full backlog slow the stand-in upstream down

Cause: an upstream that serves at full speed whatever waits never shows an overload that outlasts its trigger.

--- a/apps/standin/main.cpp
+++ b/apps/standin/main.cpp
@@ -20,6 +20,7 @@
 DEFINE_uint32(connections, 100, "upstream: connections accepted at once");
 DEFINE_uint32(cold_start_ms, 0, "upstream: time until it has full speed");
 DEFINE_double(cold_factor, 4, "upstream: slowness at the start");
+DEFINE_double(contention, 0, "upstream: added slowness at a full backlog");
 DEFINE_string(effects_log, "", "upstream: file to append each effect to");
 DEFINE_string(plan, "", "caller: JSON file with classes and phases");
 DEFINE_string(report, "", "caller: file of the summary; default: stdout");
@@ -62,6 +63,7 @@
     options.connections = FLAGS_connections;
     options.cold_start_ms = FLAGS_cold_start_ms;
     options.cold_factor = FLAGS_cold_factor;
+    options.contention = FLAGS_contention;
     options.seed = FLAGS_seed;
     options.effects_log = FLAGS_effects_log;
     auto const text = read_file(FLAGS_routes);
--- a/src/standin/internal/upstream.cpp
+++ b/src/standin/internal/upstream.cpp
@@ -276,8 +276,12 @@
         this->options.cold_start_ms == 0
             ? 0
             : std::max(0.0, 1 - age.count() / this->options.cold_start_ms);
+    double const backlog_share =
+        static_cast<double>(this->slots.waiting()) /
+        static_cast<double>(std::max<std::size_t>(1, this->options.backlog));
     double const factor = this->faults.slow_factor *
-                          (1 + (this->options.cold_factor - 1) * cold_left);
+                          (1 + (this->options.cold_factor - 1) * cold_left) *
+                          (1 + this->options.contention * backlog_share);
     constexpr double us_per_ms = 1000;
     return microseconds(
         static_cast<std::int64_t>(service_ms * factor * us_per_ms));
--- a/src/standin/upstream_options.hpp
+++ b/src/standin/upstream_options.hpp
@@ -49,6 +49,9 @@
     std::uint32_t cold_start_ms = 0;
     // Slowness at the start, falling to 1 over the cold start.
     double cold_factor = 4;
+    // Added slowness when the backlog is full; less in proportion to it. Work
+    // that waits costs memory, threads and locks.
+    double contention = 0;
     std::uint64_t seed = 1;
     std::string effects_log;
     std::vector<upstream_route> routes;
--- a/tools/measurement/deployment.py
+++ b/tools/measurement/deployment.py
@@ -14,6 +14,8 @@
               "spread": 0, "answer_bytes": 64}
 # Requests that wait at an upstream before it sheds, for each of its slots.
 BACKLOG_PER_SLOT = 4
+# An upstream with a full backlog takes twice as long for each request.
+CONTENTION = 1
 
 
 @dataclasses.dataclass(frozen=True)
--- a/tools/measurement/fleet.py
+++ b/tools/measurement/fleet.py
@@ -78,6 +78,7 @@
             "--slots", service.slots, "--connections", service.connections,
             "--backlog", service.slots * deployments.BACKLOG_PER_SLOT,
             "--cold_start_ms", cold_start_ms,
+            "--contention", deployments.CONTENTION,
             "--seed", self._seed + upstream.first_port,
             "--effects_log", self.out / f"{upstream.name}.effects"])
 
