Read the nodes' control counters, and answer a node's drain

Cause: the daemon counts control messages by direction and kind, and tells its upstream of a drain. Change: fleet prints rates by direction and kind; the stand-in counts the drain requests that it gets and serves on. Conclusion: to be run with the daemon.

--- a/src/standin/internal/upstream.cpp
+++ b/src/standin/internal/upstream.cpp
@@ -103,6 +103,11 @@
     {
         co_return this->health();
     }
+    if (request.target() == "/plantaintally/v1/drain")
+    {
+        ++this->counters.drain_requests;
+        co_return json_reply(200, "{}");
+    }
     if (request.target() == "/standin/faults")
     {
         co_return this->change_faults(request.body());
@@ -416,6 +421,7 @@
         {"deadline_missed", seen.deadline_missed},
         {"downstream_failed", seen.downstream_failed},
         {"last_arrival_unix_ms", seen.last_arrival_unix_ms},
+        {"drain_requests", seen.drain_requests},
         {"effects", this->ledger.effects()},
         {"duplicates", this->ledger.duplicates()},
         {"running", this->slots.running()},
--- a/src/standin/upstream.hpp
+++ b/src/standin/upstream.hpp
@@ -51,6 +51,8 @@
     std::uint64_t shed = 0;
     std::uint64_t deadline_missed = 0;
     std::uint64_t downstream_failed = 0;
+    // Times that the node asked it to finish its work; it serves on.
+    std::uint64_t drain_requests = 0;
     std::int64_t last_arrival_unix_ms = 0;
 };
 
--- a/tools/measurement/scenarios/costs.py
+++ b/tools/measurement/scenarios/costs.py
@@ -1,6 +1,7 @@
 """What a node costs: latency, processor time, memory, control traffic."""
 
 import dataclasses
+import re
 import subprocess
 import time
 
@@ -18,6 +19,10 @@
 NODES_PER_SERVICE = 4
 SETTLE_S = 5
 QUIET_S = 10
+CONTROL_SAMPLE = re.compile(
+    r"plantaintally_control_(?P<metric>messages|bytes)_total"
+    r"\{(?P<labels>.*)\}")
+LABEL = re.compile(r'(\w+)="([^"]*)"')
 
 
 def _ping(service):
@@ -138,16 +143,33 @@
 
 
 def _control_sums(fleet):
-    """Sums of the nodes' control counters: name to value a node."""
+    """Mean of the nodes' control counters by (metric, direction, kind)."""
     sums = {}
     for upstream in fleet.upstreams:
         for sample, value in http_json.metrics(
                 upstream.local_address).items():
-            name = sample.split("{")[0]
-            if "control" in name and name.endswith("_total"):
-                sums[name] = sums.get(name, 0) + value
-    return {name: value / len(fleet.upstreams) for name, value in
-            sums.items()}
+            found = CONTROL_SAMPLE.match(sample)
+            if found:
+                labels = dict(LABEL.findall(found["labels"]))
+                key = (found["metric"], labels.get("direction", ""),
+                       labels.get("kind", ""))
+                sums[key] = sums.get(key, 0) + value / len(fleet.upstreams)
+    return sums
+
+
+def _add_control(result, before, after):
+    """Adds rates of control messages and bytes, in all and by kind."""
+    rates = {key: (value - before.get(key, 0)) / QUIET_S
+             for key, value in after.items()}
+    for metric, direction in sorted({key[:2] for key in rates}):
+        total = sum(rate for key, rate in rates.items()
+                    if key[:2] == (metric, direction))
+        target = ("<=", MAX_CONTROL_BYTES_S) if metric == "bytes" else None
+        result.add(f"control {metric} {direction}, a node", total, "1/s",
+                   target)
+    for (metric, direction, kind), rate in sorted(rates.items()):
+        if metric == "bytes" and direction == "sent" and rate > 0:
+            result.add(f"control bytes sent, {kind}", rate, "1/s")
 
 
 def fleet_size(context):
@@ -164,11 +186,7 @@
         control, cpu = _control_sums(fleet), fleet.nodes_cpu_s()
         calls = http_json.get(deployment.platform_address, "/v1/counters")
         time.sleep(QUIET_S)
-        for name, value in sorted(_control_sums(fleet).items()):
-            rate = (value - control.get(name, 0)) / QUIET_S
-            is_bytes = "bytes_sent" in name or "sent_bytes" in name
-            result.add(f"{name}, a node", rate, "1/s",
-                       ("<=", MAX_CONTROL_BYTES_S) if is_bytes else None)
+        _add_control(result, control, _control_sums(fleet))
         used = [(after - cpu[name]) / QUIET_S
                 for name, after in fleet.nodes_cpu_s().items()]
         result.add("processor, mean node", sum(used) / len(used), "cores",
