Test membership and configuration under failures in virtual time

Cause: the promises on leaving, failure detection and configuration need tests that bring the failures about. Change: test_fleet composes the pure states of several nodes with a fake store; tests for join, leave, crash, refutation, restart, cut, pause, loss, store outage, lost answers, races, relays. An outside watcher is released by a last heartbeat. The age of the revision is ordered by a stamp: without it digests took the same confirmation in again and again, and it grew younger by the delay of each message (67.88 s told after 68 s of outage). A change without an expected revision that needs a reading counts from that reading.

--- a/src/codec/internal/configuration_json.hpp
+++ b/src/codec/internal/configuration_json.hpp
@@ -40,7 +40,8 @@
                    revision,
                    wants_document,
                    is_ready,
-                   confirmed_age)
+                   confirmed_age,
+                   confirmed_stamp)
 PLANTAINTALLY_JSON(configuration::document_update, "document_update", content)
 PLANTAINTALLY_JSON(configuration::create_rank, "create_rank", rank)
 PLANTAINTALLY_JSON(configuration::alter_rank,
--- a/src/codec/internal/membership_json.hpp
+++ b/src/codec/internal/membership_json.hpp
@@ -23,7 +23,8 @@
                    heard,
                    news,
                    view_hash,
-                   configuration_revision)
+                   configuration_revision,
+                   ends_watch)
 PLANTAINTALLY_JSON(membership::gossip, "gossip", news, is_repair)
 PLANTAINTALLY_JSON(membership::view_digest,
                    "view_digest",
--- a/src/codec/tests/control_codec_test.cpp
+++ b/src/codec/tests/control_codec_test.cpp
@@ -45,7 +45,7 @@
     {
     case 0:
         return membership::message(membership::heartbeat{
-            number, {7, 4'000'000'000}, any_records(), number, 7});
+            number, {7, 4'000'000'000}, any_records(), number, 7, flag});
     case 1:
         return membership::message(membership::gossip{any_records(), flag});
     case 2:
@@ -53,7 +53,11 @@
             membership::view_digest{{1, number}, {text}, {number}, flag});
     case 3:
         return configuration::message(
-            configuration::revision_digest{number, flag, !flag, duration(9)});
+            configuration::revision_digest{number,
+                                           flag,
+                                           !flag,
+                                           duration(9),
+                                           wall_time(duration(number % 1000))});
     case 9:
         return configuration::message(configuration::change_batch{
             {{number,
--- a/src/configuration/internal/first_reading.cpp
+++ b/src/configuration/internal/first_reading.cpp
@@ -141,7 +141,7 @@
         }
         adopt_document(configuration, std::move(*content), current);
     }
-    note_confirmed(configuration, configuration.in_force.revision, now);
+    note_confirmed(configuration, configuration.in_force.revision, current);
     become_ready(configuration, "store", current);
 }
 
--- a/src/configuration/internal/in_force.cpp
+++ b/src/configuration/internal/in_force.cpp
@@ -16,6 +16,8 @@
 
 // Accepted changes that are remembered for nodes that lag behind.
 constexpr std::size_t max_recent_changes = 128;
+// A confirmation whose wall clock is further ahead than this is ignored.
+constexpr duration max_clock_lead = std::chrono::minutes(1);
 
 void note_adopted(state& configuration, std::string_view source, step& current)
 {
@@ -92,15 +94,34 @@
     return batch;
 }
 
-void note_confirmed(state& configuration, std::uint64_t revision, instant when)
+void note_confirmed(state& configuration, std::uint64_t revision, step& current)
 {
-    if (revision != configuration.in_force.revision)
+    if (revision == configuration.in_force.revision)
+    {
+        configuration.confirmed_at = current.now.monotonic;
+        configuration.confirmed_stamp =
+            std::max(configuration.confirmed_stamp, current.now.wall);
+    }
+}
+
+void note_told_confirmed(state& configuration,
+                         revision_digest const& digest,
+                         step& current)
+{
+    bool const is_plausible =
+        digest.confirmed_stamp <= current.now.wall + max_clock_lead;
+    bool const is_news = digest.confirmed_age != duration::max() &&
+                         digest.confirmed_stamp > configuration.confirmed_stamp;
+    if (!is_plausible || !is_news ||
+        digest.revision != configuration.in_force.revision)
     {
         return;
     }
-    if (!configuration.confirmed_at || *configuration.confirmed_at < when)
+    instant const told = current.now.monotonic - digest.confirmed_age;
+    configuration.confirmed_stamp = digest.confirmed_stamp;
+    if (!configuration.confirmed_at || *configuration.confirmed_at < told)
     {
-        configuration.confirmed_at = when;
+        configuration.confirmed_at = told;
     }
 }
 
--- a/src/configuration/internal/in_force.hpp
+++ b/src/configuration/internal/in_force.hpp
@@ -26,7 +26,15 @@
                            std::uint64_t base_revision);
 
 // The platform's service told that no higher revision than this exists.
-void note_confirmed(state& configuration, std::uint64_t revision, instant when);
+void note_confirmed(state& configuration,
+                    std::uint64_t revision,
+                    step& current);
+
+// Another node told so. Takes a confirmation in only if it is newer than the
+// last one.
+void note_told_confirmed(state& configuration,
+                         revision_digest const& digest,
+                         step& current);
 
 // The document of a value read from the platform's service, or nothing if it
 // can't be read; that is put into the time line.
--- a/src/configuration/internal/relay.cpp
+++ b/src/configuration/internal/relay.cpp
@@ -246,7 +246,6 @@
                       store_result const& result,
                       step& current)
 {
-    instant const now = current.now.monotonic;
     configuration.is_store_down =
         std::holds_alternative<store_unavailable>(result);
     if (auto const* entry = std::get_if<store_entry>(&result))
@@ -255,17 +254,17 @@
         if (content)
         {
             adopt_document(configuration, std::move(*content), current);
-            note_confirmed(configuration, entry->revision, now);
+            note_confirmed(configuration, entry->revision, current);
         }
         return;
     }
     if (std::holds_alternative<store_unchanged>(result))
     {
-        note_confirmed(configuration, configuration.in_force.revision, now);
+        note_confirmed(configuration, configuration.in_force.revision, current);
     }
     if (std::holds_alternative<store_missing>(result))
     {
-        note_confirmed(configuration, 0, now);
+        note_confirmed(configuration, 0, current);
     }
 }
 
--- a/src/configuration/internal/spread.cpp
+++ b/src/configuration/internal/spread.cpp
@@ -36,6 +36,7 @@
     digest.is_ready = configuration.is_ready;
     digest.confirmed_age =
         confirmed_age(configuration, now).value_or(duration::max());
+    digest.confirmed_stamp = configuration.confirmed_stamp;
     return digest;
 }
 
@@ -103,7 +104,7 @@
         }
         else
         {
-            this->take_age(digest);
+            note_told_confirmed(this->configuration, digest, this->current);
         }
         if (!digest.is_ready && this->configuration.is_ready)
         {
@@ -135,16 +136,6 @@
             }
         }
     }
-
-    void take_age(revision_digest const& digest) const
-    {
-        if (digest.confirmed_age != duration::max())
-        {
-            note_confirmed(this->configuration,
-                           digest.revision,
-                           this->current.now.monotonic - digest.confirmed_age);
-        }
-    }
 };
 
 void send_round(state& configuration,
--- a/src/configuration/internal/submission.cpp
+++ b/src/configuration/internal/submission.cpp
@@ -230,7 +230,7 @@
     {
         adopt_document(configuration, std::move(written), current);
     }
-    note_confirmed(configuration, revision, current.now.monotonic);
+    note_confirmed(configuration, revision, current);
     answer_accepted(configuration, revision, current);
 }
 
@@ -332,8 +332,13 @@
     }
     pending.is_read_fresh = true;
     std::uint64_t const revision = content->revision;
+    // Without a stated revision the newest one before any write is the base.
+    if (!pending.requested.expected_revision && pending.failures == 0)
+    {
+        pending.base_revision = revision;
+    }
     adopt_document(configuration, std::move(*content), current);
-    note_confirmed(configuration, revision, current.now.monotonic);
+    note_confirmed(configuration, revision, current);
     advance_submission(configuration, current);
 }
 
--- a/src/configuration/messages.hpp
+++ b/src/configuration/messages.hpp
@@ -23,6 +23,9 @@
     // Time since the sender, or somebody it heard of, last read from the
     // platform's service that no higher revision exists.
     duration confirmed_age = duration::max();
+    // The wall clock of the node that read it, at that reading. Orders
+    // confirmations, so that none is taken in twice and grows younger.
+    wall_time confirmed_stamp{};
 
     bool operator==(revision_digest const&) const = default;
 };
--- a/src/configuration/state.hpp
+++ b/src/configuration/state.hpp
@@ -77,6 +77,7 @@
     // When the platform's service last confirmed the revision in force, to this
     // node or to another one that told it.
     std::optional<instant> confirmed_at;
+    wall_time confirmed_stamp{};
     instant started_at{};
 
     std::map<store_call_id, store_purpose> calls;
--- a/src/membership/internal/cell.cpp
+++ b/src/membership/internal/cell.cpp
@@ -117,11 +117,11 @@
     return watchers;
 }
 
-void refresh_cell(state& membership, instant now)
+bool refresh_cell(state& membership, instant now)
 {
     if (!membership.is_cell_stale || !membership.self_record)
     {
-        return;
+        return false;
     }
     membership.is_cell_stale = false;
     membership.cell = cell_of(membership, *membership.self_record);
@@ -146,16 +146,41 @@
         }
         peer.is_outside = false;
     }
-    refresh_outside_watchers(membership);
+    return true;
 }
 
-void refresh_outside_watchers(state& membership)
+std::vector<std::string> refresh_outside_watchers(state& membership)
 {
-    if (membership.self_record)
+    std::vector<std::string> dropped;
+    if (!membership.self_record)
     {
-        membership.outside_watchers =
-            outside_watchers_of(membership, *membership.self_record);
+        return dropped;
     }
+    membership.watcher_choice_members = member_count(membership);
+    std::vector<std::string> chosen =
+        outside_watchers_of(membership, *membership.self_record);
+    for (std::string const& address : membership.outside_watchers)
+    {
+        if (std::find(chosen.begin(), chosen.end(), address) == chosen.end())
+        {
+            dropped.push_back(address);
+        }
+    }
+    membership.outside_watchers = std::move(chosen);
+    return dropped;
+}
+
+bool lacks_outside_watchers(state const& membership)
+{
+    bool const is_any_gone =
+        std::any_of(membership.outside_watchers.begin(),
+                    membership.outside_watchers.end(),
+                    [&](std::string const& address)
+                    { return find_member(membership, address) == nullptr; });
+    bool const may_find_more =
+        membership.outside_watchers.size() < outside_watcher_count &&
+        membership.watcher_choice_members != member_count(membership);
+    return is_any_gone || may_find_more;
 }
 
 } // namespace plantaintally::membership
--- a/src/membership/internal/cell.hpp
+++ b/src/membership/internal/cell.hpp
@@ -24,10 +24,13 @@
                                              member_record const& record);
 
 // Works out this node's cell anew if members have come or gone, and whom to
-// watch.
-void refresh_cell(state& membership, instant now);
+// watch; true if it was.
+bool refresh_cell(state& membership, instant now);
 
-// Chooses the outside watchers anew.
-void refresh_outside_watchers(state& membership);
+// Chooses the outside watchers anew; returns those that are not chosen again.
+std::vector<std::string> refresh_outside_watchers(state& membership);
+
+// True if there are too few outside watchers or one of them is gone.
+bool lacks_outside_watchers(state const& membership);
 
 } // namespace plantaintally::membership
--- a/src/membership/internal/contacts.cpp
+++ b/src/membership/internal/contacts.cpp
@@ -37,7 +37,7 @@
 
 void read_key(state& membership,
               store_purpose purpose,
-              std::string key,
+              std::string const& key,
               step& current)
 {
     begin_call(membership, purpose, store_get{key}, key, current);
--- a/src/membership/internal/failure_detector.cpp
+++ b/src/membership/internal/failure_detector.cpp
@@ -1,6 +1,5 @@
 #include "membership/internal/failure_detector.hpp"
 
-#include "membership/internal/cell.hpp"
 #include "membership/internal/news.hpp"
 #include "membership/internal/send.hpp"
 #include "membership/internal/view.hpp"
@@ -28,16 +27,6 @@
            now - *membership.heard_anyone_at >= silence_limit(membership);
 }
 
-// True if an outside sender would still choose this node as its watcher.
-bool is_watcher_of(state const& membership, member_record const& peer)
-{
-    std::vector<std::string> const watchers =
-        outside_watchers_of(membership, peer);
-    return std::find(watchers.begin(),
-                     watchers.end(),
-                     membership.own.self.address) != watchers.end();
-}
-
 void change_status(state& membership,
                    member_record changed,
                    member_status status,
@@ -75,10 +64,6 @@
     }
     if (!peer.suspected_at)
     {
-        if (peer.is_outside && !is_watcher_of(membership, *held))
-        {
-            return true;
-        }
         peer.suspected_at = now;
         if (held->status != member_status::suspected)
         {
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -56,26 +56,59 @@
     return targets;
 }
 
-void send_heartbeats(state& membership, step& current)
+heartbeat make_heartbeat(state& membership, instant now)
 {
     heartbeat beat;
     beat.sequence = ++membership.heartbeat_sequence;
-    beat.heard = heard_lately(membership, current.now.monotonic);
+    beat.heard = heard_lately(membership, now);
     beat.news = heartbeat_news(membership);
     beat.view_hash = hash_service(membership, membership.self_record->service);
     beat.configuration_revision = membership.configuration_revision;
+    return beat;
+}
+
+void send_heartbeats(state& membership, step& current)
+{
+    heartbeat const beat = make_heartbeat(membership, current.now.monotonic);
     for (std::string const& address : heartbeat_targets(membership))
     {
         send(address, beat, current);
     }
 }
 
+// Chooses outside watchers anew, and tells those that watch no more.
+void choose_watchers(state& membership, step& current)
+{
+    std::vector<std::string> const dropped =
+        refresh_outside_watchers(membership);
+    if (dropped.empty())
+    {
+        return;
+    }
+    heartbeat last = make_heartbeat(membership, current.now.monotonic);
+    last.ends_watch = true;
+    for (std::string const& address : dropped)
+    {
+        send(address, last, current);
+    }
+}
+
+// Works the cell and the outside watchers out anew where that is needed.
+void refresh_targets(state& membership, step& current)
+{
+    bool const is_new = refresh_cell(membership, current.now.monotonic);
+    if (is_new || lacks_outside_watchers(membership))
+    {
+        choose_watchers(membership, current);
+    }
+}
+
 // Changes this node's own record and spreads it at once.
 void publish_self(state& membership, std::size_t fanout, step& current)
 {
     member_record const& self = *membership.self_record;
     learn(membership, self, current);
-    refresh_cell(membership, current.now.monotonic);
+    refresh_targets(membership, current);
     std::vector<std::string> targets = heartbeat_targets(membership);
     std::vector<std::string> const others =
         draw_peers(membership, fanout, current);
@@ -150,8 +183,20 @@
 }
 
 // A node of another cell sends its heartbeats here: it wants to be watched.
-void watch_outside(state& membership, node_id const& sender, step& current)
+void watch_outside(state& membership,
+                   node_id const& sender,
+                   heartbeat const& beat,
+                   step& current)
 {
+    auto const watched = membership.watched.find(sender.address);
+    if (beat.ends_watch)
+    {
+        if (watched != membership.watched.end() && watched->second.is_outside)
+        {
+            membership.watched.erase(watched);
+        }
+        return;
+    }
     member_record const* const held = find_member(membership, sender.address);
     bool const is_foreign = held != nullptr && membership.self_record &&
                             held->service != membership.self_record->service &&
@@ -217,7 +262,7 @@
     {
         take_records(
             this->membership, gossip{received.news, false}, this->current);
-        watch_outside(this->membership, this->sender, this->current);
+        watch_outside(this->membership, this->sender, received, this->current);
         note_digest(
             this->membership, received.heard, this->current.now.monotonic);
         tell_if_gone(this->membership, this->sender, this->current);
@@ -278,7 +323,7 @@
     {
         return;
     }
-    refresh_cell(membership, now);
+    refresh_targets(membership, current);
     send_heartbeats(membership, current);
     judge_peers(membership, current);
 }
@@ -443,7 +488,7 @@
     run_if_due(membership.next_watcher_choice,
                watcher_choice_interval,
                current,
-               [&] { refresh_outside_watchers(membership); });
+               [&] { choose_watchers(membership, current); });
     run_if_due(membership.next_fetch,
                fetch_interval,
                current,
--- a/src/membership/state.hpp
+++ b/src/membership/state.hpp
@@ -138,6 +138,8 @@
     std::vector<std::string> cell;
     std::vector<std::string> outside_watchers;
     bool is_cell_stale = true;
+    // The number of members known when the outside watchers were chosen.
+    std::size_t watcher_choice_members = 0;
     std::map<std::string, watched_peer, std::less<>> watched;
     // The last message from any node at all.
     std::optional<instant> heard_anyone_at;
--- /dev/null
+++ b/src/membership/tests/membership_test.cpp
@@ -0,0 +1,371 @@
+#include "membership/internal/view.hpp"
+#include "membership/membership.hpp"
+#include "test_fleet/fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace plantaintally;
+using namespace std::chrono_literals;
+using membership::member_status;
+using test_fleet::fleet;
+
+namespace
+{
+
+// Stated target: a leaving or draining node is known everywhere by then.
+constexpr duration drain_target = 3s;
+// Stated target: a crashed node is gone everywhere by then.
+constexpr duration crash_target = 8s;
+
+std::string address_of(int index)
+{
+    return "10.0.0." + std::to_string(index) + ":7000";
+}
+
+std::string zone_of(int index)
+{
+    return std::string("zone-") + static_cast<char>('a' + index % 3);
+}
+
+// Starts nodes 1 to `count`, four to a service, all with node 1 as contact.
+void start_nodes(fleet& all, int count)
+{
+    for (int index = 1; index <= count; ++index)
+    {
+        all.start_node(address_of(index),
+                       zone_of(index),
+                       "service-" + std::to_string((index - 1) / 4),
+                       {address_of(1)});
+    }
+}
+
+bool is_complete(fleet& all, std::size_t count)
+{
+    for (std::string const& address : all.live_addresses())
+    {
+        if (membership::member_count(all.at(address).membership) != count)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool is_seen_by_all(fleet& all, std::string const& subject, member_status as)
+{
+    for (std::string const& address : all.live_addresses())
+    {
+        if (address != subject && all.status(address, subject) != as)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool is_anyone_seen_as(fleet& all, member_status as)
+{
+    for (std::string const& viewer : all.live_addresses())
+    {
+        for (auto const& member :
+             membership::all_members(all.at(viewer).membership))
+        {
+            if (member.status == as)
+            {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+TEST_CASE("nodes that know one contact learn of all")
+{
+    fleet all(1);
+    start_nodes(all, 12);
+    CHECK(all.run_until([&] { return is_complete(all, 12); }, 10s));
+    auto const& view = all.at(address_of(5)).membership;
+    CHECK(membership::members_of(view, "service-0").size() == 4);
+}
+
+TEST_CASE("nodes without contacts find each other by the store")
+{
+    fleet all(2);
+    for (int index = 1; index <= 9; ++index)
+    {
+        all.start_node(address_of(index), zone_of(index), "rota-board");
+    }
+    CHECK(all.run_until([&] { return is_complete(all, 9); }, 30s));
+}
+
+TEST_CASE("nodes that started during the store's outage join after it")
+{
+    fleet all(3);
+    all.store.is_down = true;
+    start_nodes(all, 6);
+    all.run_for(30s);
+    all.start_node(address_of(7), zone_of(7), "maps");
+    all.run_for(60s);
+    CHECK(membership::member_count(all.at(address_of(7)).membership) == 1);
+    all.store.is_down = false;
+    CHECK(all.run_until([&] { return is_complete(all, 7); }, 240s));
+}
+
+TEST_CASE("a node that leaves is gone everywhere within the target")
+{
+    fleet all(4);
+    start_nodes(all, 12);
+    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 10s));
+    all.act(address_of(6),
+            [](auto& node, step& current)
+            { membership::announce_leaving(node.membership, current); });
+    all.crash(address_of(6));
+    CHECK(all.run_until([&] { return is_complete(all, 11); }, drain_target));
+}
+
+TEST_CASE("a drain and its end are known everywhere within the target")
+{
+    fleet all(5);
+    start_nodes(all, 24);
+    REQUIRE(all.run_until([&] { return is_complete(all, 24); }, 20s));
+    std::string const drained = address_of(9);
+    all.act(drained,
+            [](auto& node, step& current)
+            { membership::announce_draining(node.membership, current); });
+    CHECK(all.run_until(
+        [&] { return is_seen_by_all(all, drained, member_status::draining); },
+        drain_target));
+    all.act(drained,
+            [](auto& node, step& current)
+            { membership::announce_undrained(node.membership, current); });
+    CHECK(all.run_until(
+        [&] { return is_seen_by_all(all, drained, member_status::alive); },
+        drain_target));
+}
+
+TEST_CASE("a crashed node is suspected, then gone everywhere")
+{
+    fleet all(6);
+    start_nodes(all, 12);
+    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 10s));
+    all.crash(address_of(7));
+    CHECK(all.run_until(
+        [&]
+        {
+            return all.status(address_of(8), address_of(7)) ==
+                   member_status::suspected;
+        },
+        crash_target));
+    CHECK(all.run_until([&] { return is_complete(all, 11); }, crash_target));
+}
+
+TEST_CASE("the only member of a service is missed by nodes of other services")
+{
+    fleet all(7);
+    start_nodes(all, 8);
+    all.start_node(address_of(20), "zone-a", "lonely", {address_of(1)});
+    REQUIRE(all.run_until([&] { return is_complete(all, 9); }, 10s));
+    all.run_for(2s);
+    all.crash(address_of(20));
+    CHECK(all.run_until([&] { return is_complete(all, 8); }, crash_target));
+}
+
+TEST_CASE("a live suspect refutes and is alive everywhere again")
+{
+    fleet all(8);
+    start_nodes(all, 8);
+    REQUIRE(all.run_until([&] { return is_complete(all, 8); }, 10s));
+    std::string const suspect = address_of(3);
+    all.act(address_of(8),
+            [&](auto& node, step& current)
+            {
+                auto claim = *membership::find_member(node.membership, suspect);
+                claim.status = member_status::gone;
+                claim.status_version += 1;
+                membership::handle_message(node.membership,
+                                           node_id{address_of(7), 1},
+                                           membership::gossip{{claim}, false},
+                                           current);
+            });
+    CHECK(all.status(address_of(8), suspect) == member_status::gone);
+    all.run_for(5s);
+    CHECK(is_seen_by_all(all, suspect, member_status::alive));
+}
+
+TEST_CASE("a restarted node replaces its former incarnation")
+{
+    fleet all(9);
+    start_nodes(all, 8);
+    REQUIRE(all.run_until([&] { return is_complete(all, 8); }, 10s));
+    all.crash(address_of(4));
+    all.start_node(address_of(4), zone_of(4), "bookings", {address_of(1)});
+    auto const is_replaced = [&]
+    {
+        for (std::string const& viewer : all.live_addresses())
+        {
+            auto const* held = membership::find_member(
+                all.at(viewer).membership, address_of(4));
+            if (held == nullptr || held->node.incarnation != 2 ||
+                held->service != "bookings")
+            {
+                return false;
+            }
+        }
+        return is_complete(all, 8);
+    };
+    CHECK(all.run_until(is_replaced, crash_target));
+    all.run_for(20s);
+    CHECK(is_replaced());
+}
+
+TEST_CASE("old news does not revive a member that is gone")
+{
+    fleet all(10);
+    start_nodes(all, 8);
+    REQUIRE(all.run_until([&] { return is_complete(all, 8); }, 10s));
+    auto const old_news = *membership::find_member(
+        all.at(address_of(1)).membership, address_of(5));
+    all.crash(address_of(5));
+    REQUIRE(all.run_until([&] { return is_complete(all, 7); }, 10s));
+    all.act(address_of(2),
+            [&](auto& node, step& current)
+            {
+                membership::handle_message(
+                    node.membership,
+                    node_id{address_of(3), 1},
+                    membership::gossip{{old_news}, false},
+                    current);
+            });
+    CHECK(all.status(address_of(2), address_of(5)) == member_status::gone);
+    all.run_for(30s);
+    CHECK(is_complete(all, 7));
+}
+
+TEST_CASE("both sides of a cut find each other when it heals")
+{
+    fleet all(11);
+    start_nodes(all, 12);
+    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 10s));
+    for (int index = 1; index <= 12; index += 3)
+    {
+        all.net.groups[address_of(index)] = 1;
+    }
+    CHECK(all.run_until(
+        [&]
+        {
+            return membership::member_count(all.at(address_of(1)).membership) ==
+                       4 &&
+                   membership::member_count(all.at(address_of(2)).membership) ==
+                       8;
+        },
+        20s));
+    all.run_for(300s);
+    all.net.groups.clear();
+    CHECK(all.run_until([&] { return is_complete(all, 12); }, 60s));
+    all.run_for(5s);
+    CHECK(!is_anyone_seen_as(all, member_status::suspected));
+}
+
+TEST_CASE("a node that was paused suspects nobody when it goes on")
+{
+    fleet all(12);
+    start_nodes(all, 12);
+    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 10s));
+    std::string const paused = address_of(2);
+    all.pause(paused, 60s);
+    all.run_for(60s);
+    CHECK(all.status(address_of(1), paused) == member_status::gone);
+    all.at(paused).entries.clear();
+    all.run_for(20s);
+    CHECK(is_complete(all, 12));
+    for (timeline_entry const& entry : all.at(paused).entries)
+    {
+        CHECK(entry.kind != "member-suspected");
+        CHECK(entry.kind != "member-gone");
+    }
+}
+
+TEST_CASE("a node that hears nobody suspects nobody")
+{
+    fleet all(13);
+    start_nodes(all, 8);
+    REQUIRE(all.run_until([&] { return is_complete(all, 8); }, 10s));
+    all.net.groups[address_of(3)] = 1;
+    all.run_for(60s);
+    CHECK(membership::member_count(all.at(address_of(3)).membership) == 8);
+    CHECK(membership::member_count(all.at(address_of(1)).membership) == 7);
+}
+
+TEST_CASE("lost messages alone make nobody gone")
+{
+    fleet all(14);
+    all.net.loss = 0.1;
+    start_nodes(all, 16);
+    REQUIRE(all.run_until([&] { return is_complete(all, 16); }, 60s));
+    all.run_for(300s);
+    CHECK(is_complete(all, 16));
+}
+
+TEST_CASE("a service unknown here is asked for, and absent if nobody knows it")
+{
+    fleet all(15);
+    start_nodes(all, 8);
+    REQUIRE(all.run_until([&] { return is_complete(all, 8); }, 10s));
+    // A node that has just started and knows its contact only.
+    all.start_node("10.0.1.1:7000", "zone-a", "", {address_of(1)});
+    auto const ask = [&](std::string const& service)
+    {
+        auto known = membership::service_knowledge::absent;
+        all.act("10.0.1.1:7000",
+                [&](auto& node, step& current) {
+                    known = membership::request_service(
+                        node.membership, service, current);
+                });
+        return known;
+    };
+    CHECK(ask("service-1") == membership::service_knowledge::awaited);
+    CHECK(ask("nowhere") == membership::service_knowledge::awaited);
+    all.run_for(100ms);
+    CHECK(ask("service-1") == membership::service_knowledge::known);
+    CHECK(ask("nowhere") == membership::service_knowledge::absent);
+}
+
+TEST_CASE("a hint from an answer marks a member as draining, and is refuted")
+{
+    fleet all(16);
+    start_nodes(all, 8);
+    REQUIRE(all.run_until([&] { return is_complete(all, 8); }, 10s));
+    all.act(address_of(1),
+            [](auto& node, step& current) {
+                membership::note_draining(
+                    node.membership, address_of(6), current);
+            });
+    CHECK(all.status(address_of(1), address_of(6)) == member_status::draining);
+    all.run_for(5s);
+    CHECK(is_seen_by_all(all, address_of(6), member_status::alive));
+}
+
+TEST_CASE("the list of contacts stays short and forgets those that are gone")
+{
+    fleet all(17);
+    for (int index = 1; index <= 20; ++index)
+    {
+        all.start_node(address_of(index), "zone-a", "slots", {address_of(1)});
+    }
+    all.run_for(1800s);
+    std::string const listed =
+        all.store.value_of("plantaintally/contacts/zone-a");
+    CHECK(std::count(listed.begin(), listed.end(), '\n') == 16);
+    std::string const first = listed.substr(0, listed.find('\n'));
+    all.crash(first);
+    all.run_for(1800s);
+    std::string const later =
+        all.store.value_of("plantaintally/contacts/zone-a");
+    CHECK(later.find(first + "\n") == std::string::npos);
+    CHECK(std::count(later.begin(), later.end(), '\n') == 16);
+}
