Bound waiting by the likely service time, and follow refusals at once

Cause: waiting requests were dispatched until the shortest service time before their deadline, so that many ended late; after one refusal of the upstream the queue was emptied into it. Change: what waits is refused by mean plus deviation of the service time; a refusal lowers the limit at once to what ran, and holds it for a second.

--- a/src/admission/concurrency_limit.hpp
+++ b/src/admission/concurrency_limit.hpp
@@ -37,13 +37,14 @@
 {
     // Low estimate of the own time at an unloaded upstream.
     double baseline_us = 0;
-    // Moving mean of the whole time.
+    // Moving mean of the whole time, and of its distance from the mean.
     double mean_us = 0;
+    double deviation_us = 0;
 };
 
-// The limit and what it is computed from. The limit is raised by a little when
-// it is fully used and own times are as at low load, and lowered at once by a
-// share when the upstream refuses or its own times grow.
+// The limit and what it is computed from. It is raised by a little when it is
+// fully used and own times are as at low load. It is lowered by a share when
+// own times grow, and at once to what ran when the upstream refuses one more.
 struct concurrency_limit
 {
     double value = 1;
@@ -57,6 +58,7 @@
     std::uint32_t samples = 0;
     std::uint32_t refusals = 0;
     double growth_sum = 0;
+    instant raise_after{};
     std::uint32_t most_in_flight = 0;
 };
 
@@ -81,8 +83,12 @@
 duration shortest_service(concurrency_limit const& limit,
                           std::string_view rank);
 
-// The largest shortest_service of all ranks.
-duration longest_baseline(concurrency_limit const& limit);
+// The time in which a request of the rank is likely to be served; zero if none
+// was served yet.
+duration typical_service(concurrency_limit const& limit, std::string_view rank);
+
+// The largest typical_service of all ranks.
+duration longest_typical(concurrency_limit const& limit);
 
 // Mean time of a request at the upstream; zero if none was served yet.
 duration mean_service(concurrency_limit const& limit);
--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -137,7 +137,7 @@
         return std::nullopt;
     }
     instant earliest =
-        admission.earliest_deadline - longest_baseline(admission.limit);
+        admission.earliest_deadline - longest_typical(admission.limit);
     earliest = std::max(earliest, now + check_interval);
     duration const age = now - admission.limit.opened_at;
     if (age < admission.limit.cold_start)
--- a/src/admission/internal/concurrency_limit.cpp
+++ b/src/admission/internal/concurrency_limit.cpp
@@ -1,6 +1,7 @@
 #include "admission/concurrency_limit.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace plantaintally::admission
 {
@@ -20,6 +21,10 @@
 constexpr double max_counted_growth = 10.0;
 // Strongest cut of the limit by one window.
 constexpr double strongest_cut = 0.7;
+// A window in which the upstream refused more than this is cut by that much.
+constexpr double mostly_refused = 0.5;
+// After a refusal the limit is not raised for this long.
+constexpr duration refusal_hold = std::chrono::seconds(1);
 constexpr double growth_share = 0.05;
 // The limit counts as used up from this share on.
 constexpr double used_share = 0.8;
@@ -53,6 +58,8 @@
     double const weight =
         own < times.baseline_us ? baseline_down_weight : baseline_up_weight;
     times.baseline_us = blend(times.baseline_us, own, weight);
+    times.deviation_us =
+        blend(times.deviation_us, std::abs(total - times.mean_us), mean_weight);
     times.mean_us = blend(times.mean_us, total, mean_weight);
     limit.mean_us = blend(limit.mean_us, total, mean_weight);
     limit.growth_sum += std::min(own / times.baseline_us, max_counted_growth);
@@ -69,27 +76,41 @@
     return now - limit.window_start >= length;
 }
 
-double next_value(concurrency_limit const& limit)
+double next_value(concurrency_limit const& limit, instant now)
 {
     double const samples = limit.samples;
-    double const refused_share = limit.refusals / samples;
-    if (limit.refusals > 0)
+    if (limit.refusals / samples > mostly_refused)
     {
-        double const kept = std::max(strongest_cut, 1.0 - refused_share);
-        return limit.value * kept;
+        return limit.value * strongest_cut;
     }
     double const growth = limit.growth_sum / samples;
     if (growth > tolerated_growth)
     {
         return limit.value * std::max(strongest_cut, tolerated_growth / growth);
     }
-    if (limit.most_in_flight >= used_share * limit.value)
+    bool const is_used = limit.most_in_flight >= used_share * limit.value;
+    if (is_used && now >= limit.raise_after)
     {
         return limit.value + std::max(1.0, growth_share * limit.value);
     }
     return limit.value;
 }
 
+double least_value(concurrency_limit const& limit)
+{
+    return std::max(1.0, min_limit_share * limit.slots);
+}
+
+// The upstream could not take one more than were running.
+void note_refusal(concurrency_limit& limit,
+                  std::uint32_t in_flight,
+                  instant now)
+{
+    double const taken = in_flight == 0 ? 0 : in_flight - 1;
+    limit.value = std::max(least_value(limit), std::min(limit.value, taken));
+    limit.raise_after = now + refusal_hold;
+}
+
 void restart_window(concurrency_limit& limit, instant now)
 {
     limit.window_start = now;
@@ -143,6 +164,7 @@
     if (sample.kind == sample_kind::refused)
     {
         ++limit.refusals;
+        note_refusal(limit, in_flight, now);
     }
     else if (sample.kind == sample_kind::timed_out)
     {
@@ -156,8 +178,8 @@
     {
         return;
     }
-    double const least = std::max(1.0, min_limit_share * limit.slots);
-    limit.value = std::clamp<double>(next_value(limit), least, limit.slots);
+    limit.value = std::clamp<double>(
+        next_value(limit, now), least_value(limit), limit.slots);
     restart_window(limit, now);
 }
 
@@ -171,12 +193,22 @@
     return from_us(found->second.baseline_us);
 }
 
-duration longest_baseline(concurrency_limit const& limit)
+duration typical_service(concurrency_limit const& limit, std::string_view rank)
+{
+    auto const found = limit.times.find(rank);
+    if (found == limit.times.end())
+    {
+        return duration::zero();
+    }
+    return from_us(found->second.mean_us + found->second.deviation_us);
+}
+
+duration longest_typical(concurrency_limit const& limit)
 {
     double longest = 0;
     for (auto const& [rank, times] : limit.times)
     {
-        longest = std::max(longest, times.baseline_us);
+        longest = std::max(longest, times.mean_us + times.deviation_us);
     }
     return from_us(longest);
 }
--- a/src/admission/internal/offer.cpp
+++ b/src/admission/internal/offer.cpp
@@ -33,7 +33,7 @@
                                           instant now)
 {
     duration const wait = estimated_wait(admission, queue, now);
-    duration const service = shortest_service(admission.limit, item.rank);
+    duration const service = typical_service(admission.limit, item.rank);
     if (now + wait + service > item.deadline)
     {
         return refusal::overload;
--- a/src/admission/internal/serve.cpp
+++ b/src/admission/internal/serve.cpp
@@ -73,7 +73,7 @@
         {
             continue;
         }
-        duration const service = shortest_service(admission.limit, rank);
+        duration const service = typical_service(admission.limit, rank);
         for (work& item : take_late(queue, now + service))
         {
             --admission.queued;
@@ -113,7 +113,7 @@
 std::vector<refused_work> take_expired(state& admission, instant now)
 {
     bool const is_early =
-        now + longest_baseline(admission.limit) < admission.earliest_deadline;
+        now + longest_typical(admission.limit) < admission.earliest_deadline;
     if (admission.queued == 0 || is_early)
     {
         return {};
--- /dev/null
+++ b/src/admission/tests/admission_test.cpp
@@ -0,0 +1,253 @@
+#include "admission/admission.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <set>
+
+using namespace plantaintally;
+using namespace plantaintally::admission;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr instant start{100s};
+
+struct rank
+{
+    std::string name;
+    std::uint32_t urgency;
+    std::uint32_t worth;
+    bool is_protected;
+};
+
+rank const booking{"booking", 30, 4, true};
+rank const browsing{"browsing", 20, 2, false};
+rank const exporting{"export", 10, 1, false};
+
+work make_work(std::uint64_t id,
+               rank const& of,
+               instant deadline,
+               std::string caller = "caller")
+{
+    work item;
+    item.exchange = exchange_id{id};
+    item.rank = of.name;
+    item.urgency = of.urgency;
+    item.worth = of.worth;
+    item.is_protected = of.is_protected;
+    item.deadline = deadline;
+    item.caller = std::move(caller);
+    return item;
+}
+
+// An open upstream that has served requests of each rank in this time.
+state open_upstream(std::uint32_t slots, duration service = 10ms)
+{
+    state upstream;
+    open(upstream, slots, 0s, start);
+    std::uint64_t id = 1'000'000;
+    for (rank const& each : {booking, browsing, exporting})
+    {
+        offer(upstream, make_work(++id, each, start + 10s), start);
+        finish(upstream,
+               each.name,
+               {sample_kind::completed, service, service},
+               start);
+    }
+    return upstream;
+}
+
+void fill(state& upstream, rank const& of, std::uint32_t count, instant now)
+{
+    for (std::uint64_t id = 1; id <= count; ++id)
+    {
+        offer(upstream, make_work(id, of, now + 60s), now);
+    }
+}
+
+} // namespace
+
+TEST_CASE("never more run than the announced slots, and less when cold")
+{
+    state upstream;
+    open(upstream, 20, 10s, start);
+    CHECK(allowed(upstream.limit, start) == 2);
+    CHECK(allowed(upstream.limit, start + 5s) == 11);
+    CHECK(allowed(upstream.limit, start + 10s) == 20);
+    CHECK(allowed(upstream.limit, start + 100s) == 20);
+}
+
+TEST_CASE("the limit falls at once on refusals and rises slowly after them")
+{
+    state upstream = open_upstream(100);
+    instant now = start + 1s;
+    auto const run = [&](sample_kind kind, int windows)
+    {
+        for (int sample = 0; sample < windows * 10; ++sample)
+        {
+            now += 3ms;
+            note_sample(upstream.limit,
+                        "booking",
+                        {kind, 10ms, 10ms},
+                        allowed(upstream.limit, now),
+                        now);
+        }
+    };
+    run(sample_kind::refused, 3);
+    run(sample_kind::completed, 1);
+    std::uint32_t const low = allowed(upstream.limit, now);
+    CHECK(low < 50);
+    now += 1s;
+    run(sample_kind::completed, 3);
+    std::uint32_t const higher = allowed(upstream.limit, now);
+    CHECK(higher > low);
+    CHECK(higher < 70);
+    run(sample_kind::completed, 100);
+    CHECK(allowed(upstream.limit, now) == 100);
+}
+
+TEST_CASE("time spent in downstream calls does not lower the limit")
+{
+    state upstream = open_upstream(100);
+    instant now = start + 1s;
+    for (int sample = 0; sample < 500; ++sample)
+    {
+        now += 3ms;
+        note_sample(upstream.limit,
+                    "booking",
+                    {sample_kind::completed, 900ms, 10ms},
+                    100,
+                    now);
+    }
+    CHECK(allowed(upstream.limit, now) == 100);
+}
+
+TEST_CASE("a free slot goes to the most urgent rank")
+{
+    state upstream = open_upstream(1);
+    offer(upstream, make_work(1, exporting, start + 9s), start);
+    offer(upstream, make_work(2, exporting, start + 9s), start);
+    offer(upstream, make_work(3, browsing, start + 9s), start);
+    finish(upstream, "export", {}, start);
+    auto const next = take_next(upstream, start);
+    REQUIRE(next);
+    CHECK(next->exchange == exchange_id{3});
+}
+
+TEST_CASE("waiting ranks keep their shares while a more urgent one floods")
+{
+    state upstream = open_upstream(1);
+    instant now = start;
+    std::map<std::string, int> served;
+    std::uint64_t id = 0;
+    constexpr int rounds = 3000;
+    for (int round = 0; round < rounds; ++round)
+    {
+        for (rank const& each : {booking, browsing, exporting})
+        {
+            rank flooding = each;
+            flooding.is_protected = false;
+            offer(upstream, make_work(++id, flooding, now + 60s), now);
+        }
+        finish(upstream, "booking", {sample_kind::ignored, 0s, 0s}, now);
+        if (auto const next = take_next(upstream, now))
+        {
+            ++served[next->rank];
+        }
+        now += 10ms;
+    }
+    double const worth_sum = 7;
+    double const stated = upstream.own.shared_fraction / worth_sum;
+    CHECK(served["browsing"] >= 0.95 * rounds * stated * 2);
+    CHECK(served["export"] >= 0.95 * rounds * stated * 1);
+    CHECK(served["booking"] >=
+          0.95 * rounds * (1 - upstream.own.shared_fraction));
+}
+
+TEST_CASE("a caller with many requests does not starve the others of its rank")
+{
+    state upstream = open_upstream(1);
+    for (std::uint64_t id = 1; id <= 10; ++id)
+    {
+        offer(upstream, make_work(id, browsing, start + 9s, "loud"), start);
+    }
+    offer(upstream, make_work(50, browsing, start + 9s, "quiet"), start);
+    std::set<std::uint64_t> first_two;
+    for (int round = 0; round < 2; ++round)
+    {
+        finish(upstream, "browsing", {}, start);
+        first_two.insert(take_next(upstream, start)->exchange.value);
+    }
+    CHECK(first_two.contains(50));
+}
+
+TEST_CASE("a full queue drops the newest of the caller with the most")
+{
+    state upstream = open_upstream(1, 1ms);
+    fill(upstream, browsing, 17, start);
+    auto const loud =
+        offer(upstream, make_work(90, browsing, start + 60s, "caller"), start);
+    CHECK(loud.kind == offer_kind::refused);
+    auto const quiet =
+        offer(upstream, make_work(91, browsing, start + 60s, "quiet"), start);
+    CHECK(quiet.kind == offer_kind::queued);
+    REQUIRE(quiet.shed.size() == 1);
+    CHECK(quiet.shed.front().item.exchange == exchange_id{17});
+}
+
+TEST_CASE("work that can't meet its deadline is refused at once")
+{
+    state upstream = open_upstream(1, 100ms);
+    auto const hopeless =
+        offer(upstream, make_work(1, browsing, start + 1s), start);
+    CHECK(hopeless.kind == offer_kind::admitted);
+    CHECK(offer(upstream, make_work(2, browsing, start + 50ms), start).reason ==
+          refusal::deadline_unreachable);
+    for (std::uint64_t id = 3; id < 9; ++id)
+    {
+        offer(upstream, make_work(id, browsing, start + 60s), start);
+    }
+    CHECK(offer(upstream, make_work(20, browsing, start + 300ms), start).kind ==
+          offer_kind::refused);
+    CHECK(offer(upstream, make_work(21, browsing, start + 60s), start).kind ==
+          offer_kind::queued);
+}
+
+TEST_CASE("waiting work is taken out when its time is over")
+{
+    state upstream = open_upstream(1);
+    offer(upstream, make_work(1, browsing, start + 60s), start);
+    offer(upstream, make_work(2, browsing, start + 500ms), start);
+    CHECK(take_expired(upstream, start + 400ms).empty());
+    auto const late = take_expired(upstream, start + 495ms);
+    REQUIRE(late.size() == 1);
+    CHECK(late.front().reason == refusal::deadline_passed);
+    CHECK(upstream.queued == 0);
+}
+
+TEST_CASE("a rank of which nearly nothing is admitted reports a level above it")
+{
+    state upstream = open_upstream(1);
+    fill(upstream, browsing, 500, start);
+    CHECK(admission_level(upstream, "browsing", start) == browsing.urgency + 1);
+    CHECK(admission_level(upstream, "booking", start) == 0);
+    for (std::uint64_t id = 1000; id < 1060; ++id)
+    {
+        finish(upstream, "browsing", {sample_kind::ignored, 0s, 0s}, start);
+        take_next(upstream, start);
+        offer(upstream, make_work(id, browsing, start + 60s, "other"), start);
+    }
+    CHECK(admission_level(upstream, "browsing", start) == 0);
+}
+
+TEST_CASE("a rank whose requests fail below reports the level from there")
+{
+    state upstream = open_upstream(10);
+    for (int answer = 0; answer < 30; ++answer)
+    {
+        note_answer(upstream, "browsing", true, 25, start);
+    }
+    CHECK(admission_level(upstream, "browsing", start) == 25);
+    CHECK(admission_level(upstream, "browsing", start + 2s) == 0);
+}
