--- a/src/node/exchange.hpp
+++ b/src/node/exchange.hpp
@@ -74,6 +74,8 @@
     std::uint32_t retries_left = 0;
     std::uint32_t retries_made = 0;
     std::uint32_t redirections_made = 0;
+    // Times that the own upstream refused it without running it.
+    std::uint32_t upstream_refusals = 0;
     // Executions so far, here and below.
     std::uint32_t executions = 0;
     // True if an earlier sending may have run.
--- a/src/node/internal/attempt.cpp
+++ b/src/node/internal/attempt.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr std::uint32_t unavailable_status = 503;
+// Refusals of the upstream after which a request is refused by its node too.
+constexpr std::uint32_t max_upstream_refusals = 2;
 
 refusal reason_of(attempt_failure failure)
 {
@@ -100,6 +102,26 @@
     return ended;
 }
 
+// The limit was too high by one: the request was not run and waits again.
+bool wait_again(state& node,
+                exchange& item,
+                attempt_answered const& answered,
+                step& current)
+{
+    bool const is_due =
+        node.own.is_policy_enabled && answered.is_upstream_refusal &&
+        !item.is_answered && item.upstream_refusals < max_upstream_refusals &&
+        fold_verdict(item, verdict::not_run) == verdict::not_run;
+    if (!is_due)
+    {
+        return false;
+    }
+    ++item.upstream_refusals;
+    record(current, item.head.trace_id, "admission", "requeued", {});
+    admit_here(node, item, current);
+    return true;
+}
+
 void handle_upstream_answer(state& node,
                             exchange& item,
                             sending const& sent,
@@ -124,8 +146,13 @@
                            current.now.monotonic);
     if (answered.is_upstream_refusal)
     {
+        --item.executions;
         current.out.push_back(release_attempt{answered.attempt});
     }
+    if (wait_again(node, item, answered, current))
+    {
+        return;
+    }
     end_sending(node, item, ended, current);
 }
 
