Test the attempt budget over random call trees with lost answers

Cause: the bound of 1 + R executions a call, and the truth of not-run, had no test over several nodes. Change: rapidcheck draws call trees, time-outs, refusals (also after a downstream call has run) and lost answers, half of them noticed at once; answers of a chain and of parallel calls are cut off in two fixed cases.

--- a/src/node/tests/attempt_budget_test.cpp
+++ b/src/node/tests/attempt_budget_test.cpp
@@ -14,6 +14,13 @@
 
 constexpr int requests = 12;
 
+// A number in [low, high) whose spread does not grow over the cases.
+template <class Number>
+Number draw(Number low, Number high)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(low, high));
+}
+
 std::string service_name(std::size_t index)
 {
     return "s" + std::to_string(index);
@@ -30,22 +37,22 @@
 call_tree draw_tree()
 {
     call_tree tree;
-    auto const services = *rc::gen::inRange<std::size_t>(1, 5);
+    auto const services = draw<std::size_t>(2, 6);
     tree.paths.assign(services, 0);
     tree.paths[0] = 1;
     for (std::size_t index = 0; index < services; ++index)
     {
         upstream_plan plan;
         plan.service = service_name(index);
-        plan.slots = *rc::gen::inRange<std::uint32_t>(1, 5);
-        plan.service_time =
-            std::chrono::milliseconds(*rc::gen::inRange(1, 120));
-        plan.is_parallel = *rc::gen::arbitrary<bool>();
-        plan.lost_answers = *rc::gen::inRange(0, 3) * 0.1;
-        plan.refused = *rc::gen::inRange(0, 3) * 0.15;
+        plan.slots = draw<std::uint32_t>(1, 5);
+        plan.service_time = std::chrono::milliseconds(draw(1, 120));
+        plan.is_parallel = draw(0, 2) == 1;
+        plan.lost_answers = draw(0, 3) * 0.1;
+        plan.refused = draw(0, 3) * 0.15;
+        plan.refused_late = draw(0, 3) * 0.15;
         for (std::size_t later = index + 1; later < services; ++later)
         {
-            if (*rc::gen::arbitrary<bool>())
+            if (draw(0, 2) == 1)
             {
                 plan.downstream.push_back(service_name(later));
                 tree.paths[later] += tree.paths[index];
@@ -56,15 +63,31 @@
     return tree;
 }
 
+// Retries seen in all cases, to show that the cases are no idle ones.
+std::uint64_t retried = 0;
+
+std::uint64_t count_retries(virtual_fleet& fleet, std::size_t nodes)
+{
+    std::uint64_t sum = 0;
+    for (std::size_t node = 0; node < nodes; ++node)
+    {
+        for (auto const& [key, value] : fleet.node(node).counted.total)
+        {
+            sum += key.kind == count_kind::retried ? value : 0;
+        }
+    }
+    return sum;
+}
+
 // A fleet of two nodes a service after a run with lost and late answers.
 std::unique_ptr<virtual_fleet> run_tree(call_tree const& tree,
                                         std::string const& method,
                                         std::string const& key)
 {
     fleet_settings settings;
-    settings.seed = *rc::gen::inRange<std::uint64_t>(1, 1000);
+    settings.seed = draw<std::uint64_t>(1, 1000);
     settings.document = test_document();
-    settings.lost_peer_answers = *rc::gen::inRange(0, 4) * 0.1;
+    settings.lost_peer_answers = draw(0, 4) * 0.1;
     auto fleet = std::make_unique<virtual_fleet>(settings);
     for (upstream_plan const& plan : tree.plans)
     {
@@ -77,13 +100,14 @@
     {
         request_head head = make_head(
             service_name(0), "/browse", "t" + std::to_string(index), method);
-        head.time_left = std::chrono::milliseconds(*rc::gen::inRange(5, 800));
+        head.time_left = std::chrono::milliseconds(draw(5, 800));
         head.idempotency_key = key.empty() ? "" : key + head.trace_id;
-        fleet->submit(*rc::gen::inRange<std::size_t>(0, nodes),
+        fleet->submit(draw<std::size_t>(0, nodes),
                       head,
-                      std::chrono::milliseconds(*rc::gen::inRange(0, 200)));
+                      std::chrono::milliseconds(draw(0, 200)));
     }
     fleet->run_for(20s);
+    retried += count_retries(*fleet, nodes);
     return fleet;
 }
 
@@ -131,6 +155,7 @@
 
 TEST_CASE("reads are executed at most once plus the budget's retries")
 {
+    retried = 0;
     CHECK(rc::check(
         []
         {
@@ -139,6 +164,7 @@
             check_answers(*fleet, tree);
             check_executions(*fleet, tree, retries_of("browsing"));
         }));
+    CHECK(retried > 100);
 }
 
 TEST_CASE("writes are executed at most once, whatever is lost")
@@ -164,3 +190,75 @@
             check_executions(*fleet, tree, 0);
         }));
 }
+
+namespace
+{
+
+constexpr std::uint32_t star_leaves = 4;
+
+// A fleet in which the named services' answers are all cut off.
+std::unique_ptr<virtual_fleet>
+run_cut_off(std::vector<upstream_plan> const& plans)
+{
+    fleet_settings settings;
+    settings.document = test_document();
+    settings.closed_share = 1.0;
+    auto fleet = std::make_unique<virtual_fleet>(settings);
+    for (upstream_plan const& plan : plans)
+    {
+        fleet->add(plan, "z1");
+        fleet->add(plan, "z2");
+    }
+    fleet->form();
+    std::size_t const entrance = plans.size() * 2 - 1;
+    fleet->submit(entrance, make_head(service_name(0), "/browse", "t0"));
+    fleet->run_for(20s);
+    return fleet;
+}
+
+} // namespace
+
+TEST_CASE("a chain whose every answer is cut off stays within its budget")
+{
+    std::vector<upstream_plan> plans(4);
+    for (std::size_t index = 0; index < plans.size(); ++index)
+    {
+        plans[index].service = service_name(index);
+        plans[index].lost_answers = 1.0;
+        if (index + 1 < plans.size())
+        {
+            plans[index].downstream = {service_name(index + 1)};
+        }
+    }
+    auto const fleet = run_cut_off(plans);
+    for (std::size_t index = 0; index < plans.size(); ++index)
+    {
+        CHECK(fleet->executions(service_name(index), "t0") <=
+              1 + retries_of("browsing"));
+    }
+    REQUIRE(fleet->answers().size() == 1);
+    CHECK(fleet->answers().front().outcome == verdict::may_have_run);
+}
+
+TEST_CASE("parallel calls whose answers are cut off share one budget")
+{
+    std::vector<upstream_plan> plans(1 + star_leaves);
+    plans[0].is_parallel = true;
+    for (std::size_t index = 0; index < plans.size(); ++index)
+    {
+        plans[index].service = service_name(index);
+        if (index > 0)
+        {
+            plans[index].lost_answers = 1.0;
+            plans[0].downstream.push_back(service_name(index));
+        }
+    }
+    auto const fleet = run_cut_off(plans);
+    std::uint32_t executions = 0;
+    for (std::size_t index = 1; index < plans.size(); ++index)
+    {
+        executions += fleet->executions(service_name(index), "t0");
+    }
+    CHECK(executions >= star_leaves);
+    CHECK(executions <= star_leaves + retries_of("browsing"));
+}
--- a/src/node/tests/virtual_fleet.hpp
+++ b/src/node/tests/virtual_fleet.hpp
@@ -38,6 +38,9 @@
     bool is_policy_enabled = true;
     // Part of the answers between nodes that are lost.
     double lost_peer_answers = 0;
+    // Part of the lost answers, also of upstreams, whose connection closes at
+    // once; the others are noticed by their time-out.
+    double closed_share = 0.5;
     configuration::document document;
 };
 
@@ -119,6 +122,7 @@
                std::uint32_t status,
                hop_report const& report,
                bool is_whole);
+    void lose_answer(std::size_t node, attempt_id attempt);
     void end_attempt(std::size_t node, attempt_id attempt, event const& end);
     void start_job(std::size_t node, upstream_job job);
     void step_job(std::size_t node, attempt_id attempt);
--- a/src/node/tests/virtual_jobs.cpp
+++ b/src/node/tests/virtual_jobs.cpp
@@ -102,11 +102,18 @@
     this->free_slot(node);
     if (draw_fraction(this->random) < upstream.plan.lost_answers)
     {
-        return;
+        return this->lose_answer(node, attempt);
     }
     attempt_answered answered;
     answered.attempt = attempt;
     answered.status = job.has_failed_call ? failed_call_status : good_status;
+    if (job.has_failed_call &&
+        draw_fraction(this->random) < upstream.plan.refused_late)
+    {
+        answered.status = refused_status;
+        answered.is_upstream_refusal = true;
+        --upstream.executions[job.trace_id];
+    }
     this->end_attempt(node, attempt, answered);
 }
 
--- a/src/node/tests/virtual_links.cpp
+++ b/src/node/tests/virtual_links.cpp
@@ -178,6 +178,19 @@
     this->give(node, end);
 }
 
+// Some of the lost answers are noticed at once, as the connection closes.
+void virtual_fleet::lose_answer(std::size_t node, attempt_id attempt)
+{
+    if (draw_fraction(this->random) >= this->settings.closed_share)
+    {
+        return;
+    }
+    attempt_failed closed{attempt, attempt_failure::closed_after_write, true};
+    this->schedule(link_latency,
+                   [this, node, closed]()
+                   { this->end_attempt(node, closed.attempt, closed); });
+}
+
 void virtual_fleet::reply(std::size_t node,
                           exchange_id exchange,
                           std::uint32_t status,
@@ -196,7 +209,7 @@
     {
         if (draw_fraction(this->random) < this->settings.lost_peer_answers)
         {
-            return;
+            return this->lose_answer(route.node, route.attempt);
         }
         attempt_answered answered{route.attempt, status, report, false};
         return this->schedule(
--- a/src/node/tests/virtual_upstream.hpp
+++ b/src/node/tests/virtual_upstream.hpp
@@ -29,6 +29,9 @@
     double lost_answers = 0;
     // Part of the requests answered with 503 and "not run".
     double refused = 0;
+    // Part of the requests that are answered so after a downstream call has
+    // failed; they then don't count as executed here.
+    double refused_late = 0;
 };
 
 // A request at the upstream.
