Document the drivers' figures; let the last messages leave before the end

Cause: an operator can't read a metric that no page explains; the farewell of a leaving node was sent in the same step as the end of its process. The time line stands once, in the node, and no longer in the local listener too. The process ends 100 ms after the reducer asks for it.

--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -20,6 +20,9 @@
 
 constexpr duration house_interval = std::chrono::seconds(1);
 constexpr duration connect_timeout = std::chrono::seconds(1);
+// Least time between the reducer's end and the process's, in which the last
+// control messages leave.
+constexpr auto farewell_time = std::chrono::milliseconds(100);
 // Room in a client's buffer for the part of an answer read with its headers.
 constexpr std::size_t answer_buffer_bytes = 64U << 10U;
 
@@ -205,8 +208,8 @@
         return false;
     }
     auto const waited = std::chrono::steady_clock::now() - this->ending_since;
-    return this->busy_sessions() == 0 ||
-           waited > this->chosen.limits.write_timeout;
+    bool const is_quiet = this->busy_sessions() == 0 && waited > farewell_time;
+    return is_quiet || waited > this->chosen.limits.write_timeout;
 }
 
 void engine::close()
@@ -352,7 +355,6 @@
 void engine::carry_out(record_entry const& wanted)
 {
     logging::write_entry(wanted.entry);
-    this->local.record(wanted.entry);
 }
 
 void engine::carry_out(exit_process const&)
--- a/src/drivers/internal/local_api.cpp
+++ b/src/drivers/internal/local_api.cpp
@@ -17,7 +17,6 @@
 using json = nlohmann::json;
 
 constexpr std::string_view path_prefix = "/plantaintally/";
-constexpr std::size_t max_recent_entries = 1'000;
 constexpr std::size_t max_command_bytes = 64U << 10U;
 constexpr std::size_t max_service_bytes = 255;
 constexpr std::uint32_t bad_request = 400;
@@ -161,8 +160,7 @@
 {
     auto const& target = request.target;
     bool const is_read = request.method == "GET" || request.method == "HEAD";
-    bool const is_readable = target == "/metrics" || target == "/healthz" ||
-                             target == "/plantaintally/v1/timeline";
+    bool const is_readable = target == "/metrics" || target == "/healthz";
     if (is_readable != is_read)
     {
         co_return problem_answer(is_readable ? method_not_allowed : not_found,
@@ -176,10 +174,6 @@
     {
         co_return json_answer({{"healthy", true}});
     }
-    if (target == "/plantaintally/v1/timeline")
-    {
-        co_return this->timeline();
-    }
     if (target == "/plantaintally/v1/announce")
     {
         co_return this->announce(request);
@@ -255,15 +249,6 @@
     this->commands.resolve(answered.command, answered);
 }
 
-void local_api::record(timeline_entry const& entry)
-{
-    if (this->recent.size() >= max_recent_entries)
-    {
-        this->recent.pop_front();
-    }
-    this->recent.push_back(entry);
-}
-
 std::optional<upstream_announcement> const& local_api::announcement() const
 {
     return this->announced;
@@ -276,19 +261,4 @@
             metrics::write_metrics(this->chosen.collect())};
 }
 
-local_answer local_api::timeline() const
-{
-    json entries = json::array();
-    for (auto const& entry : this->recent)
-    {
-        entries.push_back({{"wall_us", entry.at.wall_us},
-                           {"counter", entry.at.counter},
-                           {"trace_id", entry.trace_id},
-                           {"subject", entry.subject},
-                           {"kind", entry.kind},
-                           {"detail", entry.detail}});
-    }
-    return json_answer({{"entries", std::move(entries)}});
-}
-
 } // namespace plantaintally::drivers
--- a/src/drivers/internal/local_api.hpp
+++ b/src/drivers/internal/local_api.hpp
@@ -9,7 +9,6 @@
 #include "messages/effects.hpp"
 #include "messages/events.hpp"
 
-#include <deque>
 #include <functional>
 #include <optional>
 #include <string>
@@ -39,8 +38,6 @@
 
     // Answers an operator's command; ignored if nobody waits for it any more.
     void answer_command(answer_operator const& answered);
-    // Keeps the entry among the recent ones.
-    void record(timeline_entry const& entry);
 
     // What the local upstream last announced, if it has.
     [[nodiscard]] std::optional<upstream_announcement> const&
@@ -51,13 +48,11 @@
     std::uint64_t last_command = 0;
     pending_replies<command_id, answer_operator> commands;
     std::optional<upstream_announcement> announced;
-    std::deque<timeline_entry> recent;
 
     asio::awaitable<local_answer> route(incoming_request const& request);
     local_answer announce(incoming_request const& request);
     asio::awaitable<local_answer> command(incoming_request const& request);
     local_answer metrics_text();
-    [[nodiscard]] local_answer timeline() const;
 };
 
 } // namespace plantaintally::drivers
--- a/src/drivers/tests/listener_test.cpp
+++ b/src/drivers/tests/listener_test.cpp
@@ -1,6 +1,11 @@
 #include "driven_node.hpp"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <fstream>
+#include <iterator>
+#include <sstream>
 
 using namespace plantaintally;
 using namespace plantaintally::drivers;
@@ -247,3 +252,49 @@
     CHECK(body_of(answer) == R"({"columns":["a"],"message":"show ranks",)"
                              R"("rows":[["1"]],"status":"ok"})");
 }
+
+TEST_CASE("arbitrary bytes leave a listener at work")
+{
+    driven_node node(refuse_all);
+    CHECK(rc::check(
+        [&](std::string const& bytes)
+        {
+            auto const address = *rc::gen::element(node.caller_address(),
+                                                   node.peer_address(),
+                                                   node.local_address());
+            auto const prefix = *rc::gen::element<std::string>(
+                "", "GET / HTTP/1.1\r\nHost: a\r\n", "POST /plantaintally/");
+            test_connection connection(address);
+            connection.write(prefix + bytes);
+            connection.close();
+            auto const answer = ask(node.caller_address(), plain_request);
+            RC_ASSERT(has_status(answer, 503));
+        }));
+}
+
+TEST_CASE("every figure of the drivers is documented")
+{
+    std::ifstream page("docs/METRICS.md");
+    std::string const text(std::istreambuf_iterator<char>(page), {});
+    driven_node node(refuse_all);
+    ask(node.caller_address(), plain_request);
+    ask(node.caller_address(), "NONSENSE\r\n\r\n");
+    auto const metrics = ask(node.local_address(),
+                             "GET /metrics HTTP/1.1\r\nHost: node\r\n\r\n");
+    std::istringstream lines(body_of(metrics));
+    std::string const marker = "# TYPE plantaintally_";
+    std::size_t names = 0;
+    for (std::string line; std::getline(lines, line);)
+    {
+        if (!line.starts_with(marker))
+        {
+            continue;
+        }
+        auto const name =
+            line.substr(marker.size(), line.rfind(' ') - marker.size());
+        INFO(name);
+        CHECK(text.find("`" + name + "`") != std::string::npos);
+        ++names;
+    }
+    CHECK(names > 5);
+}
