Keep the node's counts and calls right when a task throws

Cause: an exception in a connection's task left the connection counted, and one in a call left its attempt without an end. Change: counts end with their task, a call that throws may have been written. Test ports lie below the range of outgoing ones. The daemon takes all file descriptors it may, and outlives the reader of its log. Conclusion: every attempt ends with an event.

--- a/apps/plantaintallyd/main.cpp
+++ b/apps/plantaintallyd/main.cpp
@@ -7,8 +7,10 @@
 #include "settings/settings.hpp"
 
 #include <gflags/gflags.h>
+#include <sys/resource.h>
 
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <iostream>
 #include <string>
@@ -33,8 +35,8 @@
     "  plantaintallyd --settings FILE --check_settings\n\n"
     "SIGTERM and SIGINT ask for a planned stop: no new work is taken, what is "
     "in flight is finished, and the exit code is 0. Exit code 1: a listener "
-    "or a file could not be opened. Exit code 2: the settings or the flags "
-    "are wrong, and nothing was started.";
+    "or a file could not be opened, or a flag is unknown. Exit code 2: the "
+    "settings are wrong or missing, and nothing was started.";
 
 // A higher incarnation than that of every earlier process at this address.
 std::uint64_t make_incarnation()
@@ -81,8 +83,23 @@
     return exit_code;
 }
 
+// Takes as many file descriptors as the system allows, since the listeners'
+// limits usually exceed the default.
+void raise_descriptor_limit()
+{
+    rlimit limit{};
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0)
+    {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
 int run_node(settings::node_settings const& chosen)
 {
+    raise_descriptor_limit();
+    // A log whose reader has gone must not end the node.
+    std::signal(SIGPIPE, SIG_IGN);
     auto const log = start_log(chosen);
     if (!log)
     {
--- a/src/drivers/internal/attempts.cpp
+++ b/src/drivers/internal/attempts.cpp
@@ -1,8 +1,10 @@
 #include "drivers/internal/attempts.hpp"
 
 #include "codec/hop_headers.hpp"
+#include "logging/logging.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <iterator>
 #include <optional>
 #include <utility>
@@ -160,8 +162,20 @@
 {
     bool const is_peer = &client == &this->chosen.peers;
     auto& control = this->running.at(id);
-    auto ended = co_await client.call(
-        std::move(address), std::move(request), timeout, control);
+    // Stands if the call ends by an exception: it may have been written.
+    call_result ended = call_failure{attempt_failure::malformed_answer, true};
+    try
+    {
+        ended = co_await client.call(
+            std::move(address), std::move(request), timeout, control);
+    }
+    catch (std::exception const& cause)
+    {
+        logging::write({logging::level::error,
+                        "drivers",
+                        "call-failed",
+                        {{"cause", cause.what()}}});
+    }
     this->running.erase(id);
     if (auto const* const failure = std::get_if<call_failure>(&ended))
     {
--- a/src/drivers/internal/listener.cpp
+++ b/src/drivers/internal/listener.cpp
@@ -21,6 +21,27 @@
 // Wait after a failed accept, for example while no file descriptor is left.
 constexpr auto accept_pause = std::chrono::milliseconds(50);
 
+// Counts one for as long as it lives, also if a task ends by an exception.
+class counted
+{
+public:
+    explicit counted(std::uint32_t& counter) : total(counter)
+    {
+        ++this->total;
+    }
+
+    ~counted()
+    {
+        --this->total;
+    }
+
+    counted(counted const&) = delete;
+    counted& operator=(counted const&) = delete;
+
+private:
+    std::uint32_t& total;
+};
+
 } // namespace
 
 listener::listener(task_scope& scope,
@@ -119,19 +140,19 @@
 
 asio::awaitable<void> listener::serve(tcp::socket accepted)
 {
-    ++this->connections;
     this->figures.add(this->figure("connections_accepted_total"));
-    this->figures.set(this->figure("connections"), this->connections);
-    co_await this->serve_connection(std::move(accepted));
-    --this->connections;
+    {
+        counted const one(this->connections);
+        this->figures.set(this->figure("connections"), this->connections);
+        co_await this->serve_connection(std::move(accepted));
+    }
     this->figures.set(this->figure("connections"), this->connections);
 }
 
 asio::awaitable<void> listener::refuse(tcp::socket accepted)
 {
-    ++this->refusals;
+    counted const one(this->refusals);
     co_await this->refuse_connection(std::move(accepted));
-    --this->refusals;
 }
 
 figure_name listener::figure(std::string_view name) const
--- a/src/drivers/internal/platform_client.cpp
+++ b/src/drivers/internal/platform_client.cpp
@@ -1,9 +1,12 @@
 #include "drivers/internal/platform_client.hpp"
 
 #include "codec/bounded_json.hpp"
+#include "logging/logging.hpp"
 
 #include <algorithm>
+#include <exception>
 #include <memory>
+#include <stdexcept>
 #include <utility>
 
 namespace plantaintally::drivers
@@ -281,8 +284,20 @@
     }
     call_control control;
     auto request = make_store_request(wanted.request, this->chosen.address);
-    auto const ended = co_await this->chosen.client.call(
-        this->chosen.address, std::move(request), timeout, control);
+    // Stands if the call ends by an exception: it may have been written.
+    call_result ended = call_failure{attempt_failure::malformed_answer, true};
+    try
+    {
+        ended = co_await this->chosen.client.call(
+            this->chosen.address, std::move(request), timeout, control);
+    }
+    catch (std::exception const& cause)
+    {
+        logging::write({logging::level::error,
+                        "drivers",
+                        "call-failed",
+                        {{"cause", cause.what()}}});
+    }
     store_result result = store_unavailable{true};
     if (auto const* const failure = std::get_if<call_failure>(&ended))
     {
--- a/src/drivers/tests/scripted_server.cpp
+++ b/src/drivers/tests/scripted_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -42,6 +43,20 @@
     return {boost::asio::ip::address_v4::loopback(), port};
 }
 
+bool is_free(boost::asio::io_context& io, std::uint16_t port)
+{
+    error_code problem;
+    tcp::acceptor probe(io);
+    probe.open(tcp::v4(), problem);
+    probe.set_option(tcp::acceptor::reuse_address(true), problem);
+    probe.bind(loopback(port), problem);
+    if (!problem)
+    {
+        probe.listen(1, problem);
+    }
+    return !problem;
+}
+
 } // namespace
 
 test_connection::test_connection(tcp::socket connected)
@@ -196,17 +211,19 @@
 
 std::uint16_t free_ports()
 {
-    constexpr int tries = 100;
+    // Below the ports that the kernel gives to outgoing connections; each
+    // process begins elsewhere.
+    constexpr unsigned first_port = 10'000;
+    constexpr unsigned port_count = 9'000;
+    constexpr unsigned spread = 98;
+    static unsigned next = static_cast<unsigned>(getpid()) * spread;
     boost::asio::io_context io;
-    for (int attempt = 0; attempt < tries; ++attempt)
+    for (unsigned tried = 0; tried < port_count; tried += 2)
     {
-        tcp::acceptor const first(io, loopback(0));
-        auto const port = first.local_endpoint().port();
-        error_code problem;
-        tcp::acceptor second(io);
-        second.open(tcp::v4(), problem);
-        second.bind(loopback(port + 1), problem);
-        if (!problem)
+        next += 2;
+        auto const port =
+            static_cast<std::uint16_t>(first_port + next % port_count);
+        if (is_free(io, port) && is_free(io, port + 1))
         {
             return port;
         }
