Divide the engine, the JSON base and the settings rules

Change: effects are carried out in carry_out.cpp, events named in event_kind.cpp; values, variants and struct declarations of JSON stand in a header each; the builders of settings rules have their own.

--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -1,6 +1,7 @@
 #include "drivers/internal/engine.hpp"
 
 #include "base/hash.hpp"
+#include "drivers/internal/event_kind.hpp"
 #include "logging/logging.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -9,7 +10,6 @@
 
 #include <fmt/format.h>
 
-#include <array>
 #include <utility>
 
 namespace plantaintally::drivers
@@ -40,63 +40,6 @@
     co_await refused.refuse_connection();
 }
 
-// The kind of an event, for metrics.
-struct event_namer
-{
-    std::string_view operator()(request_arrived const&) const
-    {
-        return "request-arrived";
-    }
-    std::string_view operator()(caller_gone const&) const
-    {
-        return "caller-gone";
-    }
-    std::string_view operator()(attempt_answered const&) const
-    {
-        return "attempt-answered";
-    }
-    std::string_view operator()(attempt_failed const&) const
-    {
-        return "attempt-failed";
-    }
-    std::string_view operator()(upstream_announced const&) const
-    {
-        return "upstream-announced";
-    }
-    std::string_view operator()(upstream_drain_requested const&) const
-    {
-        return "upstream-drain-requested";
-    }
-    std::string_view operator()(upstream_gone const&) const
-    {
-        return "upstream-gone";
-    }
-    std::string_view operator()(health_hint const&) const
-    {
-        return "health-hint";
-    }
-    std::string_view operator()(control_received const&) const
-    {
-        return "control-received";
-    }
-    std::string_view operator()(store_replied const&) const
-    {
-        return "store-replied";
-    }
-    std::string_view operator()(operator_command const&) const
-    {
-        return "operator-command";
-    }
-    std::string_view operator()(timer_fired const&) const
-    {
-        return "timer-fired";
-    }
-    std::string_view operator()(stop_requested const&) const
-    {
-        return "stop-requested";
-    }
-};
-
 } // namespace
 
 engine::engine(asio::any_io_executor const& executor,
@@ -243,8 +186,7 @@
 {
     auto const now = read_moment();
     this->recorder.record(now, happened);
-    this->figures.add(
-        {"events_total", "kind", std::visit(event_namer{}, happened), {}, {}});
+    this->figures.add({"events_total", "kind", kind_of(happened), {}, {}});
     for (auto const& asked : this->decide_on(happened, now))
     {
         std::visit([this](auto const& each) { this->carry_out(each); }, asked);
@@ -260,108 +202,15 @@
     catch (std::exception const& cause)
     {
         this->figures.add({"reducer_failures_total"});
-        logging::write(
-            {logging::level::error,
-             "drivers",
-             "reducer-failed",
-             {{"event", std::string(std::visit(event_namer{}, happened))},
-              {"cause", cause.what()}}});
+        logging::write({logging::level::error,
+                        "drivers",
+                        "reducer-failed",
+                        {{"event", std::string(kind_of(happened))},
+                         {"cause", cause.what()}}});
         return {};
     }
 }
 
-void engine::carry_out(forward_request const& wanted)
-{
-    this->attempted.forward(wanted);
-}
-
-void engine::carry_out(dispatch_request const& wanted)
-{
-    this->attempted.dispatch(wanted);
-}
-
-void engine::carry_out(cancel_attempt const& wanted)
-{
-    this->attempted.cancel(wanted.attempt);
-}
-
-void engine::carry_out(answer_from_attempt const& wanted)
-{
-    auto content = this->attempted.find_answer(wanted.attempt);
-    if (content != nullptr)
-    {
-        this->exchanges.reply(wanted.exchange,
-                              passed_answer{std::move(content), wanted.report});
-        return;
-    }
-    constexpr std::uint32_t gateway_timeout = 504;
-    this->figures.add({"answers_missing_total"});
-    auto report = wanted.report;
-    report.outcome = verdict::may_have_run;
-    report.reason = refusal::incomplete_answer;
-    this->exchanges.reply(wanted.exchange,
-                          refused_answer{gateway_timeout,
-                                         "the answer is no longer kept",
-                                         report});
-}
-
-void engine::carry_out(refuse_request const& wanted)
-{
-    this->exchanges.reply(
-        wanted.exchange,
-        refused_answer{wanted.status, wanted.detail, wanted.report});
-}
-
-void engine::carry_out(release_attempt const& wanted)
-{
-    this->attempted.release(wanted.attempt);
-}
-
-void engine::carry_out(send_control const& wanted)
-{
-    this->control.send(wanted.address,
-                       {this->self, this->decide.read_clock(), wanted.message});
-}
-
-void engine::carry_out(call_store const& wanted)
-{
-    this->platform.call(wanted);
-}
-
-void engine::carry_out(answer_operator const& wanted)
-{
-    this->local.answer_command(wanted);
-}
-
-void engine::carry_out(wake_at const& wanted)
-{
-    this->timer.set(wanted.when);
-}
-
-void engine::carry_out(drain_upstream const&)
-{
-    if (auto const& announced = this->local.announcement())
-    {
-        this->probe.drain(announced->address);
-    }
-}
-
-void engine::carry_out(warm_connections const& wanted)
-{
-    this->upstream_pool.warm(
-        wanted.upstream_address, wanted.count, wanted.limit);
-}
-
-void engine::carry_out(record_entry const& wanted)
-{
-    logging::write_entry(wanted.entry);
-}
-
-void engine::carry_out(exit_process const&)
-{
-    this->begin_ending();
-}
-
 std::function<void(event)> engine::event_sink()
 {
     return [this](event happened)
