--- a/src/once/tests/fleet.cpp
+++ b/src/once/tests/fleet.cpp
@@ -432,19 +432,23 @@
     return members;
 }
 
-void fleet::spread_members(std::set<std::string> const& without)
+void fleet::tell_members(std::string const& address,
+                         std::set<std::string> const& without)
 {
     std::vector<membership::member_record> const members = this->view(without);
+    this->handle_at(address,
+                    this->at(address).once.own.self.incarnation,
+                    [members](process& told, step& current) {
+                        handle_members(
+                            told.once, service_name, members, members, current);
+                    });
+}
+
+void fleet::spread_members(std::set<std::string> const& without)
+{
     for (std::string const& address : this->addresses())
     {
-        process const& known = this->at(address);
-        this->handle_at(
-            address,
-            known.once.own.self.incarnation,
-            [members](process& told, step& current) {
-                handle_members(
-                    told.once, service_name, members, members, current);
-            });
+        this->tell_members(address, without);
     }
 }
 
--- a/src/once/tests/fleet.hpp
+++ b/src/once/tests/fleet.hpp
@@ -77,6 +77,9 @@
     void connect_all();
     // Members as every node sees them; all live processes but `without`.
     void spread_members(std::set<std::string> const& without = {});
+    // The same at one node only.
+    void tell_members(std::string const& address,
+                      std::set<std::string> const& without);
     void leave(std::string const& address);
 
     process& at(std::string const& address);
