--- a/src/once/tests/change_test.cpp
+++ b/src/once/tests/change_test.cpp
@@ -194,6 +194,31 @@
     CHECK(is_run(tried.ask(tried.old_home)));
 }
 
+TEST_CASE("a change does not interrupt the keys whose home stays")
+{
+    settled_fleet tried;
+    std::string const stays = tried.nodes.addresses().back();
+    epoch const before = *tried.nodes.newest_known();
+    tried.nodes.crash(tried.old_home);
+    tried.nodes.spread_members();
+    int asked = 0;
+    int refused = 0;
+    for (int i = 0; i < 1000; ++i)
+    {
+        tried.nodes.run_for(milliseconds(10));
+        std::string const key =
+            tried.nodes.key_at(stays, tried.nodes.elapsed());
+        if (home_of(before, key)->address == stays)
+        {
+            ++asked;
+            refused += is_run(tried.nodes.ask(stays, key)) ? 0 : 1;
+        }
+    }
+    CHECK(asked > 500);
+    CHECK(tried.nodes.newest_known()->number == 2);
+    CHECK(refused == 0);
+}
+
 TEST_CASE("keys are accepted while the store is down and members stay")
 {
     settled_fleet tried;
