--- a/src/codec/internal/membership_json.hpp
+++ b/src/codec/internal/membership_json.hpp
@@ -9,17 +9,59 @@
 
 PLANTAINTALLY_ENUM(
     membership::member_status, "alive", "draining", "suspected", "gone")
-PLANTAINTALLY_JSON(membership::member_record,
-                   "member_record",
-                   node,
-                   service,
-                   availability_zone,
-                   status,
-                   status_version,
-                   slots)
+
+// Records are the bulk of the control messages, so they are written as arrays:
+// address, incarnation, service, zone, status, status version, slots. Further
+// elements are ignored and missing ones keep their defaults.
+template <>
+struct value_codec<membership::member_record>
+{
+    static json write(membership::member_record const& source)
+    {
+        return json::array({source.node.address,
+                            source.node.incarnation,
+                            source.service,
+                            source.availability_zone,
+                            static_cast<std::uint32_t>(source.status),
+                            source.status_version,
+                            source.slots});
+    }
+
+    static void read(json const& source, membership::member_record& target)
+    {
+        if (!source.is_array())
+        {
+            throw decode_error("not an array");
+        }
+        auto status = static_cast<std::uint32_t>(target.status);
+        read_element(source, 0, target.node.address);
+        read_element(source, 1, target.node.incarnation);
+        read_element(source, 2, target.service);
+        read_element(source, 3, target.availability_zone);
+        read_element(source, 4, status);
+        read_element(source, 5, target.status_version);
+        read_element(source, 6, target.slots);
+        if (status >
+            static_cast<std::uint32_t>(membership::member_status::gone))
+        {
+            throw decode_error("unknown member status");
+        }
+        target.status = static_cast<membership::member_status>(status);
+    }
+
+private:
+    template <class T>
+    static void read_element(json const& source, std::size_t index, T& target)
+    {
+        if (index < source.size())
+        {
+            read_value(source[index], target);
+        }
+    }
+};
+
 PLANTAINTALLY_JSON(membership::heartbeat,
                    "heartbeat",
-                   sequence,
                    heard,
                    news,
                    view_hash,
--- a/src/codec/tests/control_codec_test.cpp
+++ b/src/codec/tests/control_codec_test.cpp
@@ -45,7 +45,7 @@
     {
     case 0:
         return membership::message(membership::heartbeat{
-            number, {7, 4'000'000'000}, any_records(), number, 7, flag});
+            {7, 4'000'000'000}, any_records(), number, 7, flag});
     case 1:
         return membership::message(membership::gossip{any_records(), flag});
     case 2:
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -47,7 +47,8 @@
            draw_jittered(current.random, base, period_jitter);
 }
 
-std::vector<std::string> heartbeat_targets(state const& membership)
+// Everyone who watches this node.
+std::vector<std::string> watchers_of_self(state const& membership)
 {
     std::vector<std::string> targets = membership.cell;
     targets.insert(targets.end(),
@@ -56,10 +57,30 @@
     return targets;
 }
 
+// Whom the next heartbeat goes to: some of the cell, and the outside watchers,
+// who get no digests of this cell.
+std::vector<std::string> draw_heartbeat_targets(state const& membership,
+                                                step& current)
+{
+    std::vector<std::string> targets = membership.cell;
+    std::size_t const wanted =
+        std::min(targets.size(), membership.own.heartbeat_fanout);
+    for (std::size_t index = 0; index < wanted; ++index)
+    {
+        std::size_t const chosen =
+            index + draw_below(current.random, targets.size() - index);
+        std::swap(targets[index], targets[chosen]);
+    }
+    targets.resize(wanted);
+    targets.insert(targets.end(),
+                   membership.outside_watchers.begin(),
+                   membership.outside_watchers.end());
+    return targets;
+}
+
 heartbeat make_heartbeat(state& membership, instant now)
 {
     heartbeat beat;
-    beat.sequence = ++membership.heartbeat_sequence;
     beat.heard = heard_lately(membership, now);
     beat.news = heartbeat_news(membership);
     beat.view_hash = hash_service(membership, membership.self_record->service);
@@ -70,7 +91,8 @@
 void send_heartbeats(state& membership, step& current)
 {
     heartbeat const beat = make_heartbeat(membership, current.now.monotonic);
-    for (std::string const& address : heartbeat_targets(membership))
+    for (std::string const& address :
+         draw_heartbeat_targets(membership, current))
     {
         send(address, beat, current);
     }
@@ -109,7 +131,7 @@
     member_record const& self = *membership.self_record;
     learn(membership, self, current);
     refresh_targets(membership, current);
-    std::vector<std::string> targets = heartbeat_targets(membership);
+    std::vector<std::string> targets = watchers_of_self(membership);
     std::vector<std::string> const others =
         draw_peers(membership, fanout, current);
     targets.insert(targets.end(), others.begin(), others.end());
@@ -418,7 +440,7 @@
         membership.is_leaving = true;
         return;
     }
-    std::vector<std::string> targets = heartbeat_targets(membership);
+    std::vector<std::string> targets = watchers_of_self(membership);
     std::vector<std::string> const others =
         draw_peers(membership, leaving_fanout, current);
     targets.insert(targets.end(), others.begin(), others.end());
--- a/src/membership/internal/news.cpp
+++ b/src/membership/internal/news.cpp
@@ -1,10 +1,12 @@
 #include "membership/internal/news.hpp"
 
+#include "base/hash.hpp"
 #include "membership/internal/send.hpp"
 #include "membership/internal/view.hpp"
 #include "membership/membership.hpp"
 
 #include <algorithm>
+#include <tuple>
 
 namespace plantaintally::membership
 {
@@ -12,23 +14,14 @@
 namespace
 {
 
-// Peers that one round of gossip goes to.
-constexpr std::size_t gossip_fanout = 3;
-// A node passes each item on this many times, heartbeats not counted.
-constexpr std::uint32_t max_transmissions = 12;
-// Most items in one gossip message and in one heartbeat.
-constexpr std::size_t max_gossip_items = 64;
+// Most items in one heartbeat.
 constexpr std::size_t max_heartbeat_items = 8;
 // Items beyond this number are left to the comparison of views.
 constexpr std::size_t max_queued_items = 2048;
-// Bytes that gossip may send a second, and what it may save up.
-constexpr double gossip_bytes_per_second = 12'000;
-constexpr double gossip_burst_bytes = 60'000;
-// Size of a record in a message, for the allowance.
-constexpr double record_bytes = 90;
 
 // The items in the order in which they are sent: those of the own service
-// first, then the least spread.
+// first, then the least spread. Of equals each node takes others first, so
+// that many items at once get about evenly.
 template <class Items>
 auto order_items(Items& items, std::string const& own_service)
 {
@@ -43,7 +36,7 @@
     auto const rank = [&own_service](item_type const* item)
     {
         bool const is_foreign = item->record.service != own_service;
-        return std::make_pair(is_foreign, item->transmissions);
+        return std::make_tuple(is_foreign, item->transmissions, item->order);
     };
     std::stable_sort(ordered.begin(),
                      ordered.end(),
@@ -72,7 +65,11 @@
 
 void queue_news(state& membership, member_record const& record)
 {
-    membership.news[record.node.address] = news_item{record, 0};
+    membership.news[record.node.address] =
+        news_item{record,
+                  0,
+                  stable_hash(record.node.address,
+                              stable_hash(membership.own.self.address))};
     if (membership.news.size() <= max_queued_items)
     {
         return;
--- a/src/membership/internal/news.hpp
+++ b/src/membership/internal/news.hpp
@@ -4,11 +4,24 @@
 #include "membership/state.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <vector>
 
 namespace plantaintally::membership
 {
 
+// Peers that one round of gossip goes to.
+inline constexpr std::size_t gossip_fanout = 3;
+// A node passes each item on this many times, heartbeats not counted.
+inline constexpr std::uint32_t max_transmissions = 12;
+// Most items in one gossip message.
+inline constexpr std::size_t max_gossip_items = 64;
+// Bytes that gossip may send a second, and what it may save up.
+inline constexpr double gossip_bytes_per_second = 6'000;
+inline constexpr double gossip_burst_bytes = 60'000;
+// Size of a record in a message, for the allowance.
+inline constexpr double record_bytes = 50;
+
 // Passes the record on in the next rounds, in place of older news of the same
 // member.
 void queue_news(state& membership, member_record const& record);
--- a/src/membership/messages.hpp
+++ b/src/membership/messages.hpp
@@ -33,10 +33,9 @@
     bool operator==(member_record const&) const = default;
 };
 
-// Sent to the members of the sender's cell at every heartbeat interval.
+// Sent to members of the sender's cell at every heartbeat interval.
 struct heartbeat
 {
-    std::uint64_t sequence = 0;
     // Digest: the short hashes (see short_hash) of the addresses that the
     // sender itself heard in the last interval.
     std::vector<std::uint32_t> heard;
--- a/src/membership/state.hpp
+++ b/src/membership/state.hpp
@@ -28,6 +28,9 @@
     // A member of the cell without a sign of life for this many heartbeat
     // intervals is suspected.
     std::uint32_t missed_heartbeats = 4;
+    // Members of the cell that one heartbeat goes to, chosen anew each time;
+    // digests tell the others.
+    std::size_t heartbeat_fanout = 8;
     // A suspect that has not answered for this long is gone.
     duration suspicion_timeout = std::chrono::milliseconds(1500);
     // Interval between two rounds of gossip while there is news.
@@ -67,6 +70,8 @@
 {
     member_record record;
     std::uint32_t transmissions = 0;
+    // Order among equally spread items, different at each node.
+    std::uint64_t order = 0;
 };
 
 // Lookup by string_view in unordered containers.
@@ -151,7 +156,6 @@
 
     bool is_started = false;
     bool is_leaving = false;
-    std::uint64_t heartbeat_sequence = 0;
     // Counts the changes of the view.
     std::uint64_t view_version = 0;
     // The configuration revision that heartbeats tell.
