Bound crowded gossip, questions and the reads of a returning zone

Cause: with 1,000 items at once gossip sent 12 copies of each for 91 s; names that callers make up grew the questions without bound; 1,000 nodes starting together read the store within 0.4 s. Change: 6 copies while more than 64 items wait; at most 256 open questions; first reads jittered over 2 s.

--- a/src/configuration/internal/first_reading.cpp
+++ b/src/configuration/internal/first_reading.cpp
@@ -15,9 +15,10 @@
 {
 
 // Peers get this long to send the document before the platform's service is
-// read, so that it seldom has to send it.
-constexpr duration first_read_delay = std::chrono::milliseconds(400);
-constexpr double first_read_jitter = 0.5;
+// read, so that it seldom has to send it. The jitter keeps the nodes of an
+// availability zone that comes back from reading all at once.
+constexpr duration first_read_delay = std::chrono::seconds(1);
+constexpr double first_read_jitter = 0.8;
 constexpr duration read_hold = std::chrono::milliseconds(50);
 constexpr duration min_read_delay = std::chrono::milliseconds(250);
 constexpr duration max_read_delay = std::chrono::seconds(5);
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -21,7 +21,7 @@
 // Spread of every period around its mean.
 constexpr double period_jitter = 0.1;
 // Time until a node that joins reads the platform's service, at most.
-constexpr duration first_read_window = std::chrono::seconds(1);
+constexpr duration first_read_window = std::chrono::seconds(2);
 // Time between two choices of the outside watchers.
 constexpr duration watcher_choice_interval = std::chrono::seconds(30);
 // Time between two messages that ask for differing services.
@@ -40,6 +40,8 @@
 constexpr std::size_t question_fanout = 3;
 constexpr duration question_timeout = std::chrono::milliseconds(500);
 constexpr duration question_lifetime = std::chrono::seconds(5);
+// Unknown services asked for at the same time; callers choose the names.
+constexpr std::size_t max_questions = 256;
 
 instant after(duration base, step& current)
 {
@@ -327,6 +329,13 @@
     compare_views(membership, chosen->first, current);
 }
 
+void forget_questions(state& membership, instant now)
+{
+    std::erase_if(membership.questions,
+                  [now](auto const& entry)
+                  { return now - entry.second.asked_at >= question_lifetime; });
+}
+
 void beat(state& membership, step& current)
 {
     instant const now = current.now.monotonic;
@@ -520,6 +529,7 @@
                current,
                [&] { try_reconnect(membership, current); });
     forget_tombstones(membership, current.now.monotonic);
+    forget_questions(membership, current.now.monotonic);
     refresh_contacts(membership, current);
 }
 
@@ -564,6 +574,11 @@
         return service_knowledge::known;
     }
     instant const now = current.now.monotonic;
+    bool const is_new = !membership.questions.contains(service);
+    if (is_new && membership.questions.size() >= max_questions)
+    {
+        return service_knowledge::absent;
+    }
     auto const place =
         membership.questions.try_emplace(std::string(service)).first;
     service_question& question = place->second;
--- a/src/membership/internal/news.cpp
+++ b/src/membership/internal/news.cpp
@@ -124,6 +124,9 @@
     auto const affordable = static_cast<std::size_t>(
         std::max(0.0, membership.gossip_allowance / item_cost));
     std::size_t const limit = std::min(max_gossip_items, affordable);
+    bool const is_crowded = membership.news.size() > max_gossip_items;
+    std::uint32_t const enough =
+        is_crowded ? crowded_transmissions : max_transmissions;
     gossip round;
     std::vector<std::string> finished;
     for (news_item* item :
@@ -135,7 +138,7 @@
         }
         round.news.push_back(item->record);
         item->transmissions += static_cast<std::uint32_t>(targets.size());
-        if (item->transmissions >= max_transmissions)
+        if (item->transmissions >= enough)
         {
             finished.push_back(item->record.node.address);
         }
--- a/src/membership/internal/news.hpp
+++ b/src/membership/internal/news.hpp
@@ -12,10 +12,13 @@
 
 // Peers that one round of gossip goes to.
 inline constexpr std::size_t gossip_fanout = 3;
-// A node passes each item on this many times, heartbeats not counted.
-inline constexpr std::uint32_t max_transmissions = 12;
 // Most items in one gossip message.
 inline constexpr std::size_t max_gossip_items = 64;
+// A node passes each item on this many times, heartbeats not counted: fewer
+// while it has more items than one message holds, as after the loss of an
+// availability zone. What gossip then misses is left to comparisons of views.
+inline constexpr std::uint32_t max_transmissions = 12;
+inline constexpr std::uint32_t crowded_transmissions = 6;
 // Bytes that gossip may send a second, and what it may save up.
 inline constexpr double gossip_bytes_per_second = 6'000;
 inline constexpr double gossip_burst_bytes = 60'000;
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -335,6 +335,36 @@
     CHECK(ask("nowhere") == membership::service_knowledge::absent);
 }
 
+TEST_CASE("questions for made-up services are bounded")
+{
+    fleet all(18);
+    start_nodes(all, 4);
+    REQUIRE(all.run_until([&] { return is_complete(all, 4); }, 10s));
+    std::size_t messages = 0;
+    all.on_send = [&](std::string const&, send_control const& sent)
+    {
+        auto const* digest = std::get_if<membership::view_digest>(
+            std::get_if<membership::message>(&sent.message));
+        messages += digest != nullptr && !digest->services.empty() &&
+                            digest->services.front().starts_with("made-up")
+                        ? 1
+                        : 0;
+    };
+    all.act(address_of(1),
+            [](auto& node, step& current)
+            {
+                for (int index = 0; index < 10'000; ++index)
+                {
+                    membership::request_service(node.membership,
+                                                "made-up-" +
+                                                    std::to_string(index),
+                                                current);
+                }
+            });
+    CHECK(messages > 0);
+    CHECK(messages <= 1'000);
+}
+
 TEST_CASE("a hint from an answer marks a member as draining, and is refuted")
 {
     fleet all(16);
