--- a/src/codec/internal/base_json.hpp
+++ b/src/codec/internal/base_json.hpp
@@ -388,14 +388,15 @@
     template <>                                                                \
     struct value_codec<type>                                                   \
     {                                                                          \
+        using subject = type;                                                  \
         static constexpr std::string_view kind = kind_name;                    \
                                                                                \
-        static json write([[maybe_unused]] type const& source)                 \
+        static json write(subject const&)                                      \
         {                                                                      \
             return json::object();                                             \
         }                                                                      \
                                                                                \
-        static void read(json const& source, [[maybe_unused]] type& target)    \
+        static void read(json const& source, subject&)                         \
         {                                                                      \
             require_object(source);                                            \
         }                                                                      \
--- a/src/membership/internal/anti_entropy.cpp
+++ b/src/membership/internal/anti_entropy.cpp
@@ -2,11 +2,13 @@
 
 #include "membership/internal/send.hpp"
 #include "membership/internal/view.hpp"
+#include "membership/membership.hpp"
 
 #include <algorithm>
 #include <map>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace plantaintally::membership
 {
@@ -19,6 +21,8 @@
 constexpr std::size_t max_fetched_services = 15;
 // Records in one message of a repair.
 constexpr std::size_t max_repair_records = 256;
+// From this many known members on, any of them is asked.
+constexpr std::size_t min_known_members = 32;
 // Differences that are remembered; the next comparison finds the others.
 constexpr std::size_t max_pending_fetches = 4096;
 
@@ -221,12 +225,20 @@
 void fetch_services(state& membership, step& current)
 {
     std::map<std::string, view_digest> questions;
+    // The few listed contacts don't have to send the whole fleet to each node
+    // that joins: others are asked once they are known.
+    std::vector<std::string> others;
+    if (member_count(membership) >= min_known_members)
+    {
+        others = draw_peers(membership, 1, current);
+    }
     std::size_t const count =
         std::min(max_fetched_services, membership.fetches.size());
     for (std::size_t index = 0; index < count; ++index)
     {
         pending_fetch const& fetch = membership.fetches[index];
-        view_digest& question = questions[fetch.peer_address];
+        view_digest& question =
+            questions[others.empty() ? fetch.peer_address : others.front()];
         question.services.push_back(fetch.service);
         question.hashes.push_back(hash_service(membership, fetch.service));
     }
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -4,6 +4,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -335,6 +336,38 @@
     CHECK(ask("nowhere") == membership::service_knowledge::absent);
 }
 
+TEST_CASE(
+    "a node that joins asks many nodes for the fleet, not its contact only")
+{
+    fleet all(19);
+    for (int index = 1; index <= 80; ++index)
+    {
+        all.start_node(address_of(index),
+                       zone_of(index),
+                       "service-" + std::to_string(index / 2),
+                       {address_of(1)});
+    }
+    REQUIRE(all.run_until([&] { return is_complete(all, 80); }, 60s));
+    std::string const joining = "10.0.1.1:7000";
+    std::set<std::string> asked;
+    all.on_send = [&](std::string const& from, send_control const& sent)
+    {
+        auto const* digest = std::get_if<membership::view_digest>(
+            std::get_if<membership::message>(&sent.message));
+        if (digest != nullptr && from == joining &&
+            digest->bucket_hashes.empty())
+        {
+            asked.insert(sent.address);
+        }
+    };
+    all.start_node(joining, "zone-a", "", {address_of(1)});
+    CHECK(all.run_until(
+        [&]
+        { return membership::member_count(all.at(joining).membership) == 80; },
+        30s));
+    CHECK(asked.size() > 1);
+}
+
 TEST_CASE("questions for made-up services are bounded")
 {
     fleet all(18);
