--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -21,7 +21,7 @@
 // Spread of every period around its mean.
 constexpr double period_jitter = 0.1;
 // Time until a node that joins reads the platform's service, at most.
-constexpr duration first_read_window = std::chrono::seconds(1);
+constexpr duration first_read_window = std::chrono::seconds(2);
 // Time between two choices of the outside watchers.
 constexpr duration watcher_choice_interval = std::chrono::seconds(30);
 // Time between two messages that ask for differing services.
@@ -40,6 +40,8 @@
 constexpr std::size_t question_fanout = 3;
 constexpr duration question_timeout = std::chrono::milliseconds(500);
 constexpr duration question_lifetime = std::chrono::seconds(5);
+// Unknown services asked for at the same time; callers choose the names.
+constexpr std::size_t max_questions = 256;
 
 instant after(duration base, step& current)
 {
@@ -47,7 +49,8 @@
            draw_jittered(current.random, base, period_jitter);
 }
 
-std::vector<std::string> heartbeat_targets(state const& membership)
+// Everyone who watches this node.
+std::vector<std::string> watchers_of_self(state const& membership)
 {
     std::vector<std::string> targets = membership.cell;
     targets.insert(targets.end(),
@@ -56,10 +59,30 @@
     return targets;
 }
 
+// Whom the next heartbeat goes to: some of the cell, and the outside watchers,
+// who get no digests of this cell.
+std::vector<std::string> draw_heartbeat_targets(state const& membership,
+                                                step& current)
+{
+    std::vector<std::string> targets = membership.cell;
+    std::size_t const wanted =
+        std::min(targets.size(), membership.own.heartbeat_fanout);
+    for (std::size_t index = 0; index < wanted; ++index)
+    {
+        std::size_t const chosen =
+            index + draw_below(current.random, targets.size() - index);
+        std::swap(targets[index], targets[chosen]);
+    }
+    targets.resize(wanted);
+    targets.insert(targets.end(),
+                   membership.outside_watchers.begin(),
+                   membership.outside_watchers.end());
+    return targets;
+}
+
 heartbeat make_heartbeat(state& membership, instant now)
 {
     heartbeat beat;
-    beat.sequence = ++membership.heartbeat_sequence;
     beat.heard = heard_lately(membership, now);
     beat.news = heartbeat_news(membership);
     beat.view_hash = hash_service(membership, membership.self_record->service);
@@ -70,7 +93,8 @@
 void send_heartbeats(state& membership, step& current)
 {
     heartbeat const beat = make_heartbeat(membership, current.now.monotonic);
-    for (std::string const& address : heartbeat_targets(membership))
+    for (std::string const& address :
+         draw_heartbeat_targets(membership, current))
     {
         send(address, beat, current);
     }
@@ -109,7 +133,7 @@
     member_record const& self = *membership.self_record;
     learn(membership, self, current);
     refresh_targets(membership, current);
-    std::vector<std::string> targets = heartbeat_targets(membership);
+    std::vector<std::string> targets = watchers_of_self(membership);
     std::vector<std::string> const others =
         draw_peers(membership, fanout, current);
     targets.insert(targets.end(), others.begin(), others.end());
@@ -305,6 +329,13 @@
     compare_views(membership, chosen->first, current);
 }
 
+void forget_questions(state& membership, instant now)
+{
+    std::erase_if(membership.questions,
+                  [now](auto const& entry)
+                  { return now - entry.second.asked_at >= question_lifetime; });
+}
+
 void beat(state& membership, step& current)
 {
     instant const now = current.now.monotonic;
@@ -418,7 +449,7 @@
         membership.is_leaving = true;
         return;
     }
-    std::vector<std::string> targets = heartbeat_targets(membership);
+    std::vector<std::string> targets = watchers_of_self(membership);
     std::vector<std::string> const others =
         draw_peers(membership, leaving_fanout, current);
     targets.insert(targets.end(), others.begin(), others.end());
@@ -498,6 +529,7 @@
                current,
                [&] { try_reconnect(membership, current); });
     forget_tombstones(membership, current.now.monotonic);
+    forget_questions(membership, current.now.monotonic);
     refresh_contacts(membership, current);
 }
 
@@ -542,6 +574,11 @@
         return service_knowledge::known;
     }
     instant const now = current.now.monotonic;
+    bool const is_new = !membership.questions.contains(service);
+    if (is_new && membership.questions.size() >= max_questions)
+    {
+        return service_knowledge::absent;
+    }
     auto const place =
         membership.questions.try_emplace(std::string(service)).first;
     service_question& question = place->second;
