Judge attempts against the budget of the whole chain

Cause: a chain of calls may execute each of its calls as often as the budget allows; the table printed the figure without that bound. Change: the bound is the largest budget times the calls of the longest chain. Conclusion: exceeding the budget shows as MISSED.

--- a/tools/measurement/context.py
+++ b/tools/measurement/context.py
@@ -9,6 +9,9 @@
 from measurement.fleet import Fleet
 from measurement.results import Result
 
+# The largest attempt budget of the operators' ranks: how often any one call
+# of a chain may be executed.
+ATTEMPT_BUDGET = 3
 # Time for requests in flight at the end of the last phase.
 CALLER_GRACE_S = 30
 HARD_RETRY = {"limit": 3, "backoff_ms": 50, "keeps_key": True,
@@ -132,13 +135,20 @@
                    for c in self.summary["classes"].values())
 
 
+def _longest_chain(load):
+    deployment = load.fleet.deployment
+    return max(deployment.chain_calls(kind["service"], kind["path"])
+               for kind in load.classes)
+
+
 def add_common(result, load):
     """Adds the figures that every scenario under load has."""
     faults = analysis.verdict_faults(load.records, load.fleet.effects(),
                                      load.services)
     most, mean = analysis.attempts(load.summary)
     result.add("requests", len(load.records))
-    result.add("attempts, most on one answer", most)
+    result.add("attempts, most on one answer", most, "",
+               ("<=", ATTEMPT_BUDGET * _longest_chain(load)))
     result.add("attempts, mean a request", mean)
     result.add("duplicated effects", faults["duplicated_effects"], "",
                ("<=", 0))
--- a/tools/measurement/deployment.py
+++ b/tools/measurement/deployment.py
@@ -95,6 +95,13 @@
         """The service of this name."""
         return next(s for s in self.services if s.name == name)
 
+    def chain_calls(self, service_name, path):
+        """Number of calls that a request of the route makes in all."""
+        route = next(r for r in self.service(service_name).routes
+                     if path.startswith(r["path"]))
+        return 1 + sum(self.chain_calls(call["service"], call["path"])
+                       for call in route.get("calls", []))
+
     def upstreams(self):
         """Every upstream, spread over the availability zones in turn."""
         result = []
