Accept the recorded answer of an earlier try of the same request

Cause: a repeated key is answered with the recorded answer, whose body names the id of the try that ran. Change: the head must name the last try's id, the body any try of the same request. An answer made for another request still counts as wrong; a new test shows both. Conclusion: the check is as strict about other requests' answers as before.

--- a/src/standin/caller.hpp
+++ b/src/standin/caller.hpp
@@ -11,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <random>
+#include <span>
 #include <string>
 
 namespace plantaintally::standin
@@ -53,10 +54,11 @@
     boost::asio::awaitable<void> generate(std::size_t class_index);
     boost::asio::awaitable<void> send(std::size_t class_index,
                                       std::uint64_t number);
-    boost::asio::awaitable<try_outcome> send_once(request_class const& kind,
-                                                  std::string entrance,
-                                                  std::string request_id,
-                                                  std::string key);
+    boost::asio::awaitable<try_outcome>
+    send_once(request_class const& kind,
+              std::string entrance,
+              std::span<std::string const> ids,
+              std::string key);
     // Requests a second of a class at this time; negative after the end.
     double rate_at(std::string const& class_name, double elapsed_s) const;
     double elapsed_ms() const;
--- a/src/standin/caller_report.hpp
+++ b/src/standin/caller_report.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -43,9 +44,11 @@
     std::uint32_t attempts = 0;
 };
 
-// Judges the result of a try of the request with this id.
+// Judges the result of the last of a request's tries. The answer must name the
+// last try's id in its head; its body may be the one that was made for an
+// earlier try, as a repeated key is answered with the recorded answer.
 try_outcome judge_answer(result<http_response> const& answer,
-                         std::string_view request_id);
+                         std::span<std::string const> try_ids);
 
 // A request with all its tries. Times are milliseconds since the run began.
 struct request_record
--- a/src/standin/internal/caller.cpp
+++ b/src/standin/internal/caller.cpp
@@ -112,14 +112,15 @@
     record.key = this->make_key(kind);
     auto entrance = this->random() % this->plan.entrances.size();
     auto key = record.key;
+    std::vector<std::string> try_ids;
     for (;;)
     {
-        auto const request_id = "r" + std::to_string(this->plan.seed) + "-" +
-                                std::to_string(number) + "-" +
-                                std::to_string(record.tries);
+        try_ids.push_back("r" + std::to_string(this->plan.seed) + "-" +
+                          std::to_string(number) + "-" +
+                          std::to_string(record.tries));
         ++record.tries;
         record.last = co_await this->send_once(
-            kind, this->plan.entrances[entrance], request_id, key);
+            kind, this->plan.entrances[entrance], try_ids, key);
         record.attempts += record.last.attempts;
         record.most_attempts =
             std::max(record.most_attempts, record.last.attempts);
@@ -149,12 +150,12 @@
 
 asio::awaitable<try_outcome> caller::send_once(request_class const& kind,
                                                std::string entrance,
-                                               std::string request_id,
+                                               std::span<std::string const> ids,
                                                std::string key)
 {
     http_request request(http::string_to_verb(kind.method), kind.path, 11);
     request.set(http::field::host, kind.service);
-    request.set("X-Request-Id", request_id);
+    request.set("X-Request-Id", ids.back());
     if (!key.empty())
     {
         request.set("Idempotency-Key", key);
@@ -176,7 +177,7 @@
     {
         co_await sleep_for(latency);
     }
-    co_return judge_answer(answer, request_id);
+    co_return judge_answer(answer, ids);
 }
 
 asio::awaitable<http_reply> caller::handle(http_request request)
--- a/src/standin/internal/caller_report.cpp
+++ b/src/standin/internal/caller_report.cpp
@@ -158,7 +158,7 @@
 }
 
 try_outcome judge_answer(result<http_response> const& answer,
-                         std::string_view request_id)
+                         std::span<std::string const> try_ids)
 {
     try_outcome outcome;
     if (!answer)
@@ -178,9 +178,13 @@
         outcome.end = try_end::refused;
         return outcome;
     }
-    bool const is_own = header(response, "X-Request-Id") == request_id;
+    bool const is_own = header(response, "X-Request-Id") == try_ids.back();
     bool const is_whole =
-        is_own && check_answer_body(response.body(), request_id).has_value();
+        is_own &&
+        std::ranges::any_of(
+            try_ids,
+            [&](std::string const& id)
+            { return check_answer_body(response.body(), id).has_value(); });
     outcome.end = is_whole ? try_end::whole_answer : try_end::wrong_answer;
     return outcome;
 }
--- a/src/standin/tests/caller_report_test.cpp
+++ b/src/standin/tests/caller_report_test.cpp
@@ -22,10 +22,12 @@
 
 } // namespace
 
+std::vector<std::string> const only_try{"r1"};
+
 TEST_CASE("a whole answer to the own request is accepted")
 {
     auto const outcome = judge_answer(
-        answer_with("r1", make_answer_body("r1", "up", 100)), "r1");
+        answer_with("r1", make_answer_body("r1", "up", 100)), only_try);
     CHECK(outcome.end == try_end::whole_answer);
     CHECK(outcome.verdict == "ran");
     CHECK(outcome.attempts == 3);
@@ -37,7 +39,7 @@
     auto const is_wrong = [](std::string const& id, std::string body)
     {
         auto const answer = answer_with(id, std::move(body));
-        return judge_answer(answer, "r1").end == try_end::wrong_answer;
+        return judge_answer(answer, only_try).end == try_end::wrong_answer;
     };
     CHECK(is_wrong("r1", whole.substr(0, whole.size() - 1)));
     CHECK(is_wrong("r1", whole + "x"));
@@ -49,12 +51,25 @@
     CHECK(is_wrong("r1", make_answer_body("r2", "up", 100)));
 }
 
+TEST_CASE("a repeat may get the recorded body of an earlier try, not another's")
+{
+    std::vector<std::string> const tries{"r1-0", "r1-1"};
+    auto const judge = [&](std::string const& id, std::string const& body_id)
+    {
+        auto const body = make_answer_body(body_id, "up", 100);
+        return judge_answer(answer_with(id, body), tries).end;
+    };
+    CHECK(judge("r1-1", "r1-0") == try_end::whole_answer);
+    CHECK(judge("r1-0", "r1-0") == try_end::wrong_answer);
+    CHECK(judge("r1-1", "r2-0") == try_end::wrong_answer);
+}
+
 TEST_CASE("a call without an answer is judged by its failure")
 {
     auto const end_of = [](errc kind)
     {
         result<http_response> const failed = error{kind, ""};
-        return judge_answer(failed, "r1").end;
+        return judge_answer(failed, only_try).end;
     };
     CHECK(end_of(errc::unavailable) == try_end::unreachable);
     CHECK(end_of(errc::timeout) == try_end::timed_out);
