--- a/src/standin/caller_report.hpp
+++ b/src/standin/caller_report.hpp
@@ -40,6 +40,8 @@
     unsigned status = 0;
     // What the caller was told: a verdict, or "" if nothing.
     std::string verdict;
+    // The reason in a refusal's problem body; "" if there is none.
+    std::string reason;
     // Executions in the whole chain, as reported; 0 if nothing was told.
     std::uint32_t attempts = 0;
 };
--- a/src/standin/internal/caller_report.cpp
+++ b/src/standin/internal/caller_report.cpp
@@ -31,6 +31,15 @@
     return count;
 }
 
+// The "reason" of a problem body.
+std::string read_reason(std::string const& body)
+{
+    auto const problem = json::parse(body, nullptr, false);
+    bool const has_reason = problem.is_object() && problem.contains("reason") &&
+                            problem["reason"].is_string();
+    return has_reason ? problem["reason"].get<std::string>() : std::string();
+}
+
 bool is_success(unsigned status)
 {
     return status >= 200 && status < 300;
@@ -67,6 +76,7 @@
     std::uint64_t interrupted = 0;
     std::map<std::string, std::uint64_t> ends;
     std::map<std::string, std::uint64_t> verdicts;
+    std::map<std::string, std::uint64_t> reasons;
     std::map<unsigned, std::uint64_t> statuses;
     std::vector<double> latencies_ms;
     std::vector<std::uint64_t> offered_buckets;
@@ -101,6 +111,10 @@
     ++this->ends[std::string(to_string(record.last.end))];
     ++this->verdicts[record.last.verdict.empty() ? "none"
                                                  : record.last.verdict];
+    if (!record.last.reason.empty())
+    {
+        ++this->reasons[record.last.reason];
+    }
     ++this->statuses[record.last.status];
     count_at(this->offered_buckets, record.start_ms);
     if (record.last.end == try_end::whole_answer)
@@ -129,6 +143,7 @@
             {"interrupted", this->interrupted},
             {"ends", this->ends},
             {"verdicts", this->verdicts},
+            {"reasons", this->reasons},
             {"statuses", status_counts},
             {"latency_ms", latency_json(this->latencies_ms)},
             {"offered_buckets", this->offered_buckets},
@@ -176,6 +191,7 @@
     if (!is_success(outcome.status))
     {
         outcome.end = try_end::refused;
+        outcome.reason = read_reason(response.body());
         return outcome;
     }
     bool const is_own = header(response, "X-Request-Id") == try_ids.back();
@@ -234,6 +250,7 @@
                            {"end", to_string(record.last.end)},
                            {"status", record.last.status},
                            {"verdict", record.last.verdict},
+                           {"reason", record.last.reason},
                            {"uncertain_before", record.may_have_run_before}};
         lines += line.dump();
         lines += '\n';
--- a/src/standin/tests/caller_report_test.cpp
+++ b/src/standin/tests/caller_report_test.cpp
@@ -64,6 +64,18 @@
     CHECK(judge("r1-1", "r2-0") == try_end::wrong_answer);
 }
 
+TEST_CASE("a refusal is recorded with its reason, if it has one")
+{
+    auto refusal = answer_with("r1", R"({"reason":"overload"})");
+    refusal.result(503);
+    auto const refused = judge_answer(refusal, only_try);
+    CHECK(refused.end == try_end::refused);
+    CHECK(refused.reason == "overload");
+
+    refusal.body() = "not JSON";
+    CHECK(judge_answer(refusal, only_try).reason.empty());
+}
+
 TEST_CASE("a call without an answer is judged by its failure")
 {
     auto const end_of = [](errc kind)
