Shed at the source in proportion to what a service accepts

Cause: a level that closes a rank by its share of refusals would shut the source wholly and open it again, with the upstream idle in between. Change: the source sheds unprotected, un-keyed requests above twice what the service accepted lately; answers 502, 503 and 504 count as not accepted, so that the shedding climbs the chain. The level only tells of ranks that the protected order closes, and of those that are mostly doomed below.

--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -26,7 +26,7 @@
 {
     bool const is_shut =
         !queue.is_protected && is_unprotected_closed(admission, now);
-    return is_shut || queue.is_closed ? queue.urgency + 1 : 0;
+    return is_shut ? queue.urgency + 1 : 0;
 }
 
 } // namespace
--- a/src/admission/internal/offer.cpp
+++ b/src/admission/internal/offer.cpp
@@ -62,7 +62,6 @@
     if (dropped)
     {
         --admission.queued;
-        note_decision(queue, false);
         result.shed.push_back(
             refused_work{std::move(*dropped), refusal::queue_full});
     }
@@ -107,11 +106,9 @@
     }
     if (reason)
     {
-        note_decision(queue, false);
         return refuse(admission, *reason, std::move(result.shed), now);
     }
     make_room(admission, queue, result);
-    note_decision(queue, true);
     return enqueue(admission, queue, std::move(item), std::move(result));
 }
 
@@ -132,12 +129,10 @@
     }
     if (!item.is_protected && is_unprotected_closed(admission, now))
     {
-        note_decision(queue, false);
         return refuse(admission, refusal::overload, {}, now);
     }
     if (can_run_now(admission, now))
     {
-        note_decision(queue, true);
         ++admission.in_flight;
         return offer_result{offer_kind::admitted, {}, {}, {}};
     }
--- a/src/admission/internal/overload.cpp
+++ b/src/admission/internal/overload.cpp
@@ -8,13 +8,6 @@
 namespace
 {
 
-// Weight of the newest decision in the moving share of accepted requests.
-constexpr double decision_weight = 0.05;
-// Hysteresis of the level: a rank is closed when nearly none of its requests
-// is accepted, and open again when a fair part is.
-constexpr double close_below = 0.1;
-constexpr double open_above = 0.3;
-
 double worth_of_waiting(state const& admission, rank_queue const& asked)
 {
     double sum = asked.worth;
@@ -69,7 +62,6 @@
         admission.queued -= queue.size;
         for (work& item : take_all(queue))
         {
-            note_decision(queue, false);
             shed.push_back(refused_work{std::move(item), refusal::overload});
         }
     }
@@ -89,20 +81,6 @@
     return queue;
 }
 
-void note_decision(rank_queue& queue, bool is_accepted)
-{
-    double const fresh = is_accepted ? 1.0 : 0.0;
-    queue.accepted_share += decision_weight * (fresh - queue.accepted_share);
-    if (queue.accepted_share < close_below)
-    {
-        queue.is_closed = true;
-    }
-    if (queue.accepted_share > open_above)
-    {
-        queue.is_closed = false;
-    }
-}
-
 duration
 estimated_wait(state const& admission, rank_queue const& queue, instant now)
 {
--- a/src/admission/internal/overload.hpp
+++ b/src/admission/internal/overload.hpp
@@ -21,9 +21,6 @@
 // urgency and worth.
 rank_queue& queue_of(state& admission, work const& item);
 
-// A request of the rank was accepted, or refused for overload.
-void note_decision(rank_queue& queue, bool is_accepted);
-
 // Time that a new request of the rank would wait, by the present queues.
 duration
 estimated_wait(state const& admission, rank_queue const& queue, instant now);
--- a/src/admission/internal/serve.cpp
+++ b/src/admission/internal/serve.cpp
@@ -77,7 +77,6 @@
         for (work& item : take_late(queue, now + service))
         {
             --admission.queued;
-            note_decision(queue, false);
             late.push_back(
                 refused_work{std::move(item), refusal::deadline_passed});
         }
--- /dev/null
+++ b/src/admission/internal/source_throttle.cpp
@@ -0,0 +1,59 @@
+#include "admission/source_throttle.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace plantaintally::admission
+{
+
+namespace
+{
+
+// Requests for each accepted one, before any is shed at the source.
+constexpr double offered_per_accepted = 2.0;
+// Requests that are let through although none was accepted.
+constexpr double free_requests = 10.0;
+constexpr duration memory = std::chrono::seconds(2);
+
+recent_requests& recent_of(source_throttle& throttle,
+                           std::string_view service,
+                           std::string_view rank,
+                           instant now)
+{
+    auto const key = std::pair(std::string(service), std::string(rank));
+    recent_requests& recent = throttle.recent[key];
+    double const age = static_cast<double>((now - recent.updated_at).count()) /
+                       static_cast<double>(memory.count());
+    double const kept = std::exp(-std::max(age, 0.0));
+    recent.offered *= kept;
+    recent.accepted *= kept;
+    recent.updated_at = now;
+    return recent;
+}
+
+} // namespace
+
+bool sheds_at_source(source_throttle& throttle,
+                     std::string_view service,
+                     std::string_view rank,
+                     random_source& random,
+                     instant now)
+{
+    recent_requests& recent = recent_of(throttle, service, rank, now);
+    double const allowed =
+        offered_per_accepted * recent.accepted + free_requests;
+    double const excess = (recent.offered - allowed) / (recent.offered + 1);
+    // What is shed counts too: the shedding follows the offered load.
+    recent.offered += 1;
+    return draw_fraction(random) < excess;
+}
+
+void note_accepted(source_throttle& throttle,
+                   std::string_view service,
+                   std::string_view rank,
+                   instant now)
+{
+    recent_of(throttle, service, rank, now).accepted += 1;
+}
+
+} // namespace plantaintally::admission
--- a/src/admission/rank_queue.hpp
+++ b/src/admission/rank_queue.hpp
@@ -47,9 +47,6 @@
     std::size_t size = 0;
     // Part of a slot that the rank is owed by its share.
     double credit = 0;
-    // Moving share of the rank's requests that were not refused for overload.
-    double accepted_share = 1;
-    bool is_closed = false;
 };
 
 void push(rank_queue& queue, work item);
--- a/src/node/internal/conclude.cpp
+++ b/src/node/internal/conclude.cpp
@@ -103,6 +103,31 @@
     }
 }
 
+// Statuses by which a service says that it, or one that it calls, has no
+// capacity.
+bool tells_of_overload(std::uint32_t status)
+{
+    return status == 502 || status == 503 || status == 504;
+}
+
+void note_capacity(state& node,
+                   exchange const& item,
+                   sending_outcome const& ended,
+                   step& current)
+{
+    bool const is_refused = ended.reason == refusal::overload ||
+                            ended.reason == refusal::queue_full ||
+                            ended.reason == refusal::shed_at_source ||
+                            ended.reason == refusal::deadline_unreachable ||
+                            ended.reason == refusal::deadline_passed;
+    if (!is_origin(item) || is_refused || tells_of_overload(ended.status))
+    {
+        return;
+    }
+    admission::note_accepted(
+        node.throttle, item.head.service, item.hop.rank, current.now.monotonic);
+}
+
 void note_own_refusal(state& node, exchange& item, sending_outcome const& ended)
 {
     bool const is_here = ended.level > 0 || ended.reason == refusal::draining;
@@ -162,6 +187,7 @@
         known.outcome = verdict::may_have_run;
     }
     bool const is_kept = settle_key(node, item, known, current);
+    note_capacity(node, item, known, current);
     answer_exchange(node, item, known, current);
     release_answer(known, is_kept, current);
     detach_child(node, item, known, current.now.monotonic);
--- a/src/node/internal/route.cpp
+++ b/src/node/internal/route.cpp
@@ -110,6 +110,19 @@
            current);
 }
 
+// Only the first sending counts; protected and keyed requests are left to the
+// upstream's node.
+bool is_throttled(state& node, exchange const& item, step& current)
+{
+    bool const is_exempt = is_keyed(item) || item.is_protected ||
+                           item.retries_made + item.redirections_made > 0;
+    return !is_exempt && admission::sheds_at_source(node.throttle,
+                                                    item.head.service,
+                                                    item.hop.rank,
+                                                    node.random,
+                                                    current.now.monotonic);
+}
+
 bool is_refused_while_stopping(state const& node, exchange const& item)
 {
     return node.lifecycle.is_stopping &&
@@ -129,6 +142,14 @@
     {
         retry::note_request(node.retries, item.head.service);
     }
+    if (is_throttled(node, item, current))
+    {
+        return refuse(node,
+                      item,
+                      refusal::shed_at_source,
+                      "the service refuses most requests of this rank",
+                      current);
+    }
     if (await_members(node, item, current))
     {
         return;
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/admission.hpp"
+#include "admission/source_throttle.hpp"
 #include "base/random.hpp"
 #include "configuration/configuration.hpp"
 #include "lifecycle/lifecycle.hpp"
@@ -49,6 +50,7 @@
     once::state once;
     lifecycle::state lifecycle;
     admission::state admission;
+    admission::source_throttle throttle;
     routing::state routing;
     retry::state retries;
     exchange_table table;
