--- a/src/node/internal/attempt.cpp
+++ b/src/node/internal/attempt.cpp
@@ -198,6 +198,7 @@
         return end_sending(node, item, ended, current);
     }
     ended.detail = "refused by " + sent.peer;
+    ended.is_peer_word = true;
     ended.level = report.admission_level;
     item.tried.push_back(sent.peer);
     if (report.reason == refusal::not_key_home)
--- a/src/node/internal/conclude.cpp
+++ b/src/node/internal/conclude.cpp
@@ -137,6 +137,18 @@
     }
 }
 
+// True if not_run is the word of the node that decides on the key: it is the
+// home, or the home said so. An attempt that never reached the home tells
+// nothing of an earlier request with the same key.
+bool is_key_decided(exchange const& item, sending_outcome const& ended)
+{
+    bool const needs_home =
+        is_origin(item) && is_keyed(item) && !item.is_claimed;
+    bool const is_homes_word =
+        ended.is_peer_word && ended.reason != refusal::not_key_home;
+    return !needs_home || is_homes_word;
+}
+
 } // namespace
 
 verdict entrance_verdict(exchange const& item)
@@ -182,7 +194,9 @@
               step& current)
 {
     sending_outcome known = ended;
-    if (known.outcome == verdict::not_run && item.may_have_run)
+    bool const is_in_doubt =
+        item.may_have_run || !is_key_decided(item, known);
+    if (known.outcome == verdict::not_run && is_in_doubt)
     {
         known.outcome = verdict::may_have_run;
     }
--- a/src/node/internal/request_path.hpp
+++ b/src/node/internal/request_path.hpp
@@ -24,6 +24,8 @@
     std::uint32_t status = 0;
     std::string detail;
     duration retry_after{};
+    // True if another node refused the request and told the verdict.
+    bool is_peer_word = false;
     // The level at which a peer refused, or zero.
     std::uint32_t level = 0;
 };
--- /dev/null
+++ b/src/node/tests/truthful_refusal_test.cpp
@@ -0,0 +1,112 @@
+#include "node/internal/request_path.hpp"
+#include "virtual_fleet.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace plantaintally;
+using namespace plantaintally::node;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+fleet_settings default_settings()
+{
+    fleet_settings settings;
+    settings.document = test_document();
+    return settings;
+}
+
+upstream_plan plan_of(std::string service,
+                      std::vector<std::string> downstream = {})
+{
+    upstream_plan plan;
+    plan.service = std::move(service);
+    plan.downstream = std::move(downstream);
+    return plan;
+}
+
+// The effects of an event at a node, outside of the fleet's own passing on.
+template <class Effect>
+std::vector<Effect> effects_of(state& node, event const& happened, instant now)
+{
+    std::vector<Effect> found;
+    for (effect const& asked : reduce(node, happened, moment{now, {}}))
+    {
+        if (auto const* wanted = std::get_if<Effect>(&asked))
+        {
+            found.push_back(*wanted);
+        }
+    }
+    return found;
+}
+
+} // namespace
+
+TEST_CASE("an entrance that can't reach the key's home doesn't say not-run")
+{
+    virtual_fleet fleet(default_settings());
+    fleet.add(plan_of("edge"));
+    fleet.add(plan_of("c"));
+    fleet.form();
+    state& entrance = fleet.node(0);
+    request_arrived arrived;
+    arrived.exchange = exchange_id{900'001};
+    arrived.head = make_head("c", "/book", "t1", "POST");
+    arrived.head.idempotency_key = "key-1";
+    instant now = fleet.now();
+    auto const sent = effects_of<forward_request>(entrance, arrived, now);
+    REQUIRE(sent.size() == 1);
+    attempt_id attempt = sent[0].attempt;
+    std::vector<refuse_request> refused;
+    for (int i = 0; i < 20 && refused.empty(); ++i)
+    {
+        attempt_failed const failed{
+            attempt, attempt_failure::connect_refused, false};
+        refused = effects_of<refuse_request>(entrance, failed, now);
+        if (!refused.empty())
+        {
+            break;
+        }
+        now += 300ms;
+        for (effect const& asked :
+             reduce(entrance, timer_fired{}, moment{now, {}}))
+        {
+            if (auto const* again = std::get_if<forward_request>(&asked))
+            {
+                attempt = again->attempt;
+            }
+            if (auto const* given_up = std::get_if<refuse_request>(&asked))
+            {
+                refused.push_back(*given_up);
+            }
+        }
+    }
+    REQUIRE(refused.size() == 1);
+    CHECK(refused[0].report.outcome == verdict::may_have_run);
+}
+
+TEST_CASE("a refusal that comes from below doesn't lower the limit")
+{
+    virtual_fleet fleet(default_settings());
+    fleet.add(plan_of("a", {"gone"}));
+    fleet.form();
+    fleet.upstream(0).plan.slots = 20;
+    std::uint32_t const before =
+        admission::allowed(fleet.node(0).admission.limit, fleet.now());
+    for (int i = 0; i < 200; ++i)
+    {
+        fleet.submit(
+            0, make_head("a", "/browse", "t" + std::to_string(i)), i * 10ms);
+    }
+    fleet.run_for(4s);
+    CHECK(fleet.answers().size() == 200);
+    CHECK(admission::allowed(fleet.node(0).admission.limit, fleet.now()) >=
+          before);
+    // The upstream runs each request once: a refusal from below is not taken
+    // for one of its own, after which the request would wait again.
+    for (int i = 0; i < 200; ++i)
+    {
+        CHECK(fleet.executions("a", "t" + std::to_string(i)) <= 1);
+    }
+}
