Take back cuts of the limit that make nothing faster; document the choices

Cause: a service slow for another cause than load had its limit cut to a twentieth, which cost throughput. The virtual fleet passed 502 on as 200, so that figures of failing chains were too good. Change: a cut for grown latency is on trial; the baseline follows higher times by a minute. The fleet keeps each answer's status.

--- a/src/admission/concurrency_limit.hpp
+++ b/src/admission/concurrency_limit.hpp
@@ -40,6 +40,24 @@
     // Moving mean of the whole time, and of its distance from the mean.
     double mean_us = 0;
     double deviation_us = 0;
+    double mean_own_us = 0;
+    instant updated_at{};
+};
+
+// A cut of the limit because own times grew, until it has shown whether fewer
+// requests at a time are faster. Times that don't fall with the limit have
+// another cause, and a lower limit only costs throughput.
+struct limit_trial
+{
+    bool is_running = false;
+    // True if own times were grown in the last window too.
+    bool has_grown = false;
+    double value_before = 0;
+    double growth_before = 0;
+    // Requests that end before were mostly started before the cut.
+    instant judge_after{};
+    // No other cut for growth until then.
+    instant next_cut{};
 };
 
 // The limit and what it is computed from. It is raised by a little when it is
@@ -58,7 +76,9 @@
     std::uint32_t samples = 0;
     std::uint32_t refusals = 0;
     double growth_sum = 0;
+    double time_sum_us = 0;
     instant raise_after{};
+    limit_trial trial;
     std::uint32_t most_in_flight = 0;
 };
 
--- a/src/admission/internal/concurrency_limit.cpp
+++ b/src/admission/internal/concurrency_limit.cpp
@@ -15,7 +15,7 @@
 constexpr double mean_weight = 0.1;
 // The baseline follows lower times quickly and higher ones slowly.
 constexpr double baseline_down_weight = 0.2;
-constexpr double baseline_up_weight = 0.002;
+constexpr duration baseline_memory = std::chrono::seconds(60);
 // Own times above this multiple of the baseline are taken for overload.
 constexpr double tolerated_growth = 2.0;
 constexpr double max_counted_growth = 10.0;
@@ -23,6 +23,10 @@
 constexpr double strongest_cut = 0.7;
 // A window in which the upstream refused more than this is cut by that much.
 constexpr double mostly_refused = 0.5;
+// Weakest cut for growth: its effect has to be seen.
+constexpr double weakest_cut = 0.85;
+// After a cut that was of no use there is none for this long.
+constexpr duration cut_hold = std::chrono::seconds(2);
 // After a refusal the limit is not raised for this long.
 constexpr duration refusal_hold = std::chrono::seconds(1);
 constexpr double growth_share = 0.05;
@@ -42,9 +46,18 @@
     return old == 0 ? fresh : old + weight * (fresh - old);
 }
 
+// Weight of a sample that stands for this span of time in the baseline.
+double share_of_memory(duration span)
+{
+    return std::min(1.0,
+                    static_cast<double>(span.count()) /
+                        static_cast<double>(baseline_memory.count()));
+}
+
 void note_times(concurrency_limit& limit,
                 std::string_view rank,
-                load_sample const& sample)
+                load_sample const& sample,
+                instant now)
 {
     auto found = limit.times.find(rank);
     if (found == limit.times.end())
@@ -55,13 +68,17 @@
     auto const own =
         static_cast<double>(std::max<duration::rep>(sample.own.count(), 1));
     auto const total = static_cast<double>(sample.total.count());
-    double const weight =
-        own < times.baseline_us ? baseline_down_weight : baseline_up_weight;
+    double const weight = own < times.baseline_us
+                              ? baseline_down_weight
+                              : share_of_memory(now - times.updated_at);
+    times.updated_at = now;
     times.baseline_us = blend(times.baseline_us, own, weight);
     times.deviation_us =
         blend(times.deviation_us, std::abs(total - times.mean_us), mean_weight);
     times.mean_us = blend(times.mean_us, total, mean_weight);
     limit.mean_us = blend(limit.mean_us, total, mean_weight);
+    times.mean_own_us = blend(times.mean_own_us, own, mean_weight);
+    limit.time_sum_us += total;
     limit.growth_sum += std::min(own / times.baseline_us, max_counted_growth);
 }
 
@@ -76,7 +93,35 @@
     return now - limit.window_start >= length;
 }
 
-double next_value(concurrency_limit const& limit, instant now)
+void start_trial(concurrency_limit& limit, double growth, instant now)
+{
+    duration const mean = from_us(limit.time_sum_us / limit.samples);
+    limit.trial.is_running = true;
+    limit.trial.value_before = limit.value;
+    limit.trial.growth_before = growth;
+    limit.trial.judge_after = now + mean;
+}
+
+// Keeps the cut if it made requests faster; otherwise takes it back, and takes
+// the present times for those at low load.
+double judge_trial(concurrency_limit& limit, double growth, instant now)
+{
+    limit.trial.is_running = false;
+    // Half of the effect that the cut has if concurrency is the cause.
+    double const cut = limit.value / limit.trial.value_before;
+    if (growth < limit.trial.growth_before * (1.0 + cut) / 2.0)
+    {
+        return limit.value;
+    }
+    limit.trial.next_cut = now + cut_hold;
+    for (auto& [rank, times] : limit.times)
+    {
+        times.baseline_us = std::max(times.baseline_us, times.mean_own_us);
+    }
+    return limit.trial.value_before;
+}
+
+double next_value(concurrency_limit& limit, instant now)
 {
     double const samples = limit.samples;
     if (limit.refusals / samples > mostly_refused)
@@ -84,9 +129,20 @@
         return limit.value * strongest_cut;
     }
     double const growth = limit.growth_sum / samples;
-    if (growth > tolerated_growth)
+    if (limit.trial.is_running)
     {
-        return limit.value * std::max(strongest_cut, tolerated_growth / growth);
+        return judge_trial(limit, growth, now);
+    }
+    // Load that has just risen makes the first window a mixed one.
+    bool const was_grown = limit.trial.has_grown;
+    limit.trial.has_grown = growth > tolerated_growth;
+    bool const is_grown = was_grown && limit.trial.has_grown;
+    if (is_grown && now >= limit.trial.next_cut)
+    {
+        start_trial(limit, growth, now);
+        return limit.value * std::clamp(tolerated_growth / growth,
+                                        strongest_cut,
+                                        weakest_cut);
     }
     bool const is_used = limit.most_in_flight >= used_share * limit.value;
     if (is_used && now >= limit.raise_after)
@@ -117,6 +173,7 @@
     limit.samples = 0;
     limit.refusals = 0;
     limit.growth_sum = 0;
+    limit.time_sum_us = 0;
     limit.most_in_flight = 0;
 }
 
@@ -169,10 +226,15 @@
     else if (sample.kind == sample_kind::timed_out)
     {
         limit.growth_sum += max_counted_growth;
+        limit.time_sum_us += static_cast<double>(sample.total.count());
     }
     else
     {
-        note_times(limit, rank, sample);
+        note_times(limit, rank, sample, now);
+    }
+    if (limit.trial.is_running && now < limit.trial.judge_after)
+    {
+        return restart_window(limit, now);
     }
     if (!is_window_over(limit, now))
     {
--- a/src/admission/tests/admission_test.cpp
+++ b/src/admission/tests/admission_test.cpp
@@ -108,6 +108,42 @@
     CHECK(allowed(upstream.limit, now) == 100);
 }
 
+TEST_CASE("a cut that makes nothing faster is taken back")
+{
+    state upstream = open_upstream(100);
+    instant now = start + 1s;
+    for (int sample = 0; sample < 2000; ++sample)
+    {
+        now += 3ms;
+        note_sample(upstream.limit,
+                    "booking",
+                    {sample_kind::completed, 200ms, 200ms},
+                    allowed(upstream.limit, now),
+                    now);
+    }
+    CHECK(allowed(upstream.limit, now) == 100);
+}
+
+TEST_CASE("a cut that makes requests faster is kept")
+{
+    state upstream = open_upstream(100);
+    instant now = start + 1s;
+    duration least = 10ms;
+    for (int sample = 0; sample < 2000; ++sample)
+    {
+        now += 3ms;
+        // Above 25 at a time the upstream only gets slower.
+        duration const took =
+            std::max(least, least * allowed(upstream.limit, now) / 25);
+        note_sample(upstream.limit,
+                    "booking",
+                    {sample_kind::completed, took, took},
+                    allowed(upstream.limit, now),
+                    now);
+    }
+    CHECK(allowed(upstream.limit, now) < 75);
+}
+
 TEST_CASE("time spent in downstream calls does not lower the limit")
 {
     state upstream = open_upstream(100);
--- a/src/node/tests/virtual_fleet.hpp
+++ b/src/node/tests/virtual_fleet.hpp
@@ -74,6 +74,8 @@
     // Every event that the node was handed, while `is_recording` was set.
     std::vector<codec::recorded_event> const& recording(std::size_t node) const;
 
+    // Called with each answer to a caller; may submit again.
+    std::function<void(caller_answer const&)> on_answer;
     fleet_settings settings;
     bool is_recording = false;
 
@@ -148,6 +150,8 @@
     std::map<exchange_place, request_head> heads;
     // Attempts that have not ended, with the peer's exchange if forwarded.
     std::map<attempt_place, std::optional<exchange_place>> open_attempts;
+    // Status of each whole answer, as the drivers keep it.
+    std::map<attempt_place, std::uint32_t> statuses;
     std::vector<caller_answer> told;
 };
 
