Let a moved key run as soon as its earlier home has stopped

Cause: a planned change refused moved keys for the lifetime of a vouch. Change: a home accepts a moved key before the fence if every earlier home answers that it never saw the key and knows the newer epoch. Conclusion: a planned change costs moved keys one question.

--- a/spec/once.pml
+++ b/spec/once.pml
@@ -18,8 +18,9 @@
  * counts from when it was asked for, which is earlier.
  *
  * Mutations that must give a counterexample: NO_WAIT, NO_VOUCH, NO_RECORD,
- * NO_KEY_AGE, NO_INCARNATION, NO_FENCE. REACH_YOUNG, REACH_ASKED and
- * REACH_BACK assert that no key is accepted after a change; each must fail.
+ * NO_KEY_AGE, NO_INCARNATION, NO_FENCE, NO_STOP, NO_STAY. REACH_YOUNG,
+ * REACH_ASKED, REACH_BACK and REACH_SOON assert that no key is accepted after a
+ * change; each must fail.
  */
 #ifndef LIFETIME
 #define LIFETIME 2
@@ -121,6 +122,36 @@
     i = 0
 }
 
+/* From epoch e up to the newest one known, h is the key's home. */
+#ifdef NO_STAY
+#define STAYS(h, e) (home_of[known[h]] == h && home_of[e] == h)
+#define IS_USEFUL(e) true
+#else
+/* A vouch that its home can never use again is not kept: fewer states. */
+#define IS_USEFUL(e) STAYS(home_of[e], e)
+#define STAYS(h, e)                                                            \
+    (home_of[e] == h && home_of[known[h]] == h &&                              \
+     (e + 1 >= known[h] || home_of[e + 1] == h))
+#endif
+
+inline drop_vouches(h)
+{
+    i = 1;
+    do
+    :: i <= EPOCHS ->
+        if
+        :: home_of[i] == h && !IS_USEFUL(i) ->
+            left[i * 3] = 0;
+            left[i * 3 + 1] = 0;
+            left[i * 3 + 2] = 0
+        :: else
+        fi;
+        i++
+    :: else -> break
+    od;
+    i = 0
+}
+
 inline propose(h)
 {
     stored++;
@@ -147,15 +178,18 @@
     clear[q * 3 + e] = ok
 }
 
-/* Whether h, accepting in epoch e, knows that the key is new. */
+/* Whether h, accepting in epoch e, knows that the key is new: it was minted
+ * after the opening, or the homes of all epochs before have answered. */
 inline check_history(h, e)
 {
     find_history_start(e, h);
+    ok = s == 1 || (opened[s] && young[s]);
+#ifdef NO_KEY_AGE
     ok = s == 1 || opened[s];
-#ifndef NO_KEY_AGE
+#endif
     if
-    :: ok && s > 1 && !young[s] ->
-        ok = lowest[known[h]] < s;
+    :: !ok && lowest[known[h]] < s ->
+        ok = true;
         z = lowest[known[h]];
         do
         :: z < s -> ok = ok && clear[s * 3 + z]; z++
@@ -163,7 +197,6 @@
         od
     :: else
     fi
-#endif
 }
 
 inline accept_key(h, e)
@@ -178,6 +211,9 @@
 #ifdef REACH_ASKED
         assert(!(s > 1 && !young[s]));
 #endif
+#ifdef REACH_SOON
+        assert(!(s > 1 && !opened[s]));
+#endif
 #ifdef REACH_BACK
         assert(!(s == 3 && home_of[1] == h));
 #endif
@@ -214,14 +250,15 @@
     ::d_step { stored == 2 && EPOCHS == 3 && MAY_RETIRE ->                    \
         propose_and_retire(h) }
 #define LEARN_EPOCH(h)                                                         \
-    ::d_step { known[h] < stored -> known[h] = stored }
+    ::d_step { known[h] < stored -> known[h] = stored; drop_vouches(h) }
 #define GIVE_VOUCH(e, v)                                                       \
     ::d_step {                                                                 \
         e <= stored && known[home_of[e]] >= e && newest[VOUCHER(e, v)] <= e && \
             IS_LISTED(e, v) &&                                                 \
-            (newest[VOUCHER(e, v)] < e || left[e * 3 + v] < LIFETIME) ->       \
+            (newest[VOUCHER(e, v)] < e ||                                      \
+             (IS_USEFUL(e) && left[e * 3 + v] < LIFETIME)) ->                  \
         newest[VOUCHER(e, v)] = e;                                             \
-        left[e * 3 + v] = LIFETIME }
+        left[e * 3 + v] = (IS_USEFUL(e) -> LIFETIME : 0) }
 #define HAS_MOVED(y, v) (newest[VOUCHER(y, v)] > y || !IS_LISTED(y, v))
 #define NOTE_MOVED(y)                                                          \
     ::d_step {                                                                 \
@@ -234,15 +271,22 @@
             (lowest[q] > 1 || waiting[1] == 1) &&                              \
             (q == 2 || waiting[2] == 1) ->                                     \
         opened[q] = true }
+/* The home of e knows of q, so it accepts the key in no epoch up to q. */
+#ifdef NO_STOP
+#define HAS_STOPPED(q, e) true
+#else
+#define HAS_STOPPED(q, e) (known[home_of[e]] >= q)
+#endif
 #define ANSWER_QUESTION(q, e)                                                  \
     ::d_step {                                                                 \
-        minted && opened[q] && !young[q] && known[home_of[e]] >= e &&          \
+        minted && q <= known[home_of[q]] && known[home_of[e]] >= e &&          \
+            (opened[q] || HAS_STOPPED(q, e)) &&                                \
             e >= lowest[known[home_of[q]]] && !clear[q * 3 + e] ->             \
         answer_question(q, e) }
 #define CLAIM_KEY(h, e)                                                        \
     ::d_step {                                                                 \
         minted && recorded[h] == UNSEEN && e <= known[h] &&                    \
-            home_of[known[h]] == h && home_of[e] == h && IS_VOUCHED(e) ->      \
+            STAYS(h, e) && IS_VOUCHED(e) ->                                    \
         accept_key(h, e) }
 #define DISPATCH(h)                                                            \
     ::d_step { recorded[h] == ACCEPTED -> dispatch(h) }
--- a/src/codec/internal/once_json.hpp
+++ b/src/codec/internal/once_json.hpp
@@ -25,8 +25,14 @@
                    "not-run",
                    "ran",
                    "may-have-run")
-PLANTAINTALLY_JSON(
-    once::key_answer, "key_answer", cell, key, epoch, history, is_complete)
+PLANTAINTALLY_JSON(once::key_answer,
+                   "key_answer",
+                   cell,
+                   key,
+                   epoch,
+                   history,
+                   is_complete,
+                   newest_epoch)
 PLANTAINTALLY_JSON(once::key_transfer,
                    "key_transfer",
                    cell,
--- a/src/once/internal/claim.cpp
+++ b/src/once/internal/claim.cpp
@@ -31,8 +31,9 @@
     return std::nullopt;
 }
 
-// Since when the key's home is this node without a break, in the newest epoch
-// that a majority vouches for; the epoch is zero if this node may not accept.
+// Since when the key's home is this node without a break up to the newest
+// epoch, if a majority vouches for one of these epochs; otherwise the epoch is
+// zero and this node may not accept the key.
 history_start find_accepting_epoch(state const& once,
                                    cell_state const& cell,
                                    std::string_view key,
@@ -41,15 +42,14 @@
     for (std::size_t i = cell.epochs.size(); i-- > 0;)
     {
         epoch_progress const& known = cell.epochs[i];
-        if (!is_vouched(once, known, now))
+        node_id const* home = home_of(known.content, key);
+        if (home == nullptr || *home != once.own.self)
         {
-            continue;
+            break;
         }
-        history_start const start =
-            find_history_start(once, cell, key, known.content.number);
-        if (start.opened_at)
+        if (is_vouched(once, known, now))
         {
-            return start;
+            return find_history_start(once, cell, key, known.content.number);
         }
     }
     return {};
@@ -123,13 +123,14 @@
     settle_epochs(once, *cell, current);
     history_start const start =
         find_accepting_epoch(once, *cell, request.key, current.now);
-    if (!start.opened_at)
+    if (start.epoch == 0)
     {
         return refuse_unknown(refusal::key_home_fenced);
     }
-    bool const is_new =
-        start.epoch == known_since ||
+    bool const is_young =
+        start.opened_at &&
         is_minted_after(once, request.key, *start.opened_at, current.now);
+    bool const is_new = is_young || start.epoch == known_since;
     if (!is_new)
     {
         claim asked = ask_homes(once, *cell, request, start.epoch, current);
--- a/src/once/internal/key_questions.cpp
+++ b/src/once/internal/key_questions.cpp
@@ -134,8 +134,10 @@
 key_answer
 answer_question(state& once, key_question const& asked, step& current)
 {
-    key_answer answer{asked.cell, asked.key, asked.epoch, {}, false};
-    answer.history = key_history::may_have_run;
+    key_answer answer;
+    answer.cell = asked.cell;
+    answer.key = asked.key;
+    answer.epoch = asked.epoch;
     key_history const recorded = recorded_history(once, asked.key);
     if (recorded != key_history::never_seen)
     {
@@ -155,6 +157,7 @@
         return answer;
     }
     answer.history = key_history::never_seen;
+    answer.newest_epoch = newest_epoch(cell->second)->content.number;
     answer.is_complete =
         start.opened_at &&
         is_minted_after(once, asked.key, *start.opened_at, current.now);
@@ -184,8 +187,12 @@
     }
     bool const is_recorded = answer.history == key_history::ran ||
                              answer.history == key_history::running;
+    epoch_progress const* since = find_epoch(cell->second, asked.home_since);
+    bool const is_fenced = since != nullptr && since->opened_at.has_value();
+    bool const has_stopped = answer.newest_epoch >= asked.home_since;
     bool const is_clear =
         answer.history == key_history::never_seen &&
+        (is_fenced || has_stopped) &&
         (answer.is_complete || answer.epoch != asked.lowest_epoch);
     if (!is_clear)
     {
--- a/src/once/messages.hpp
+++ b/src/once/messages.hpp
@@ -88,6 +88,9 @@
     key_history history = key_history::may_have_run;
     // True if the answer also covers every epoch before that one.
     bool is_complete = false;
+    // The answerer's newest epoch: unless it is the key's home there, it will
+    // not accept the key in any epoch up to this one.
+    std::uint64_t newest_epoch = 0;
 
     bool operator==(key_answer const&) const = default;
 };
--- a/src/once/tests/change_test.cpp
+++ b/src/once/tests/change_test.cpp
@@ -122,6 +122,33 @@
     CHECK(tried.nodes.executions(tried.key) == 1);
 }
 
+TEST_CASE("a moved key runs at once if its previous home has stopped")
+{
+    settled_fleet tried;
+    tried.nodes.spread_members({tried.old_home});
+    tried.nodes.run_for(seconds(2));
+    std::string const home = tried.nodes.home(tried.key);
+    REQUIRE(home != tried.old_home);
+    REQUIRE_FALSE(tried.is_open(home));
+    CHECK(is_run(tried.ask(home)));
+    claim const late = tried.ask(tried.old_home);
+    REQUIRE(std::holds_alternative<redirect_home>(late));
+    CHECK(std::get<redirect_home>(late).address == home);
+}
+
+TEST_CASE("a moved key waits for the fence if its previous home is gone")
+{
+    settled_fleet tried;
+    tried.nodes.crash(tried.old_home);
+    tried.nodes.spread_members();
+    tried.nodes.run_for(seconds(2));
+    std::string const home = tried.nodes.home(tried.key);
+    REQUIRE_FALSE(tried.is_open(home));
+    CHECK(is_unknown(tried.ask(home)));
+    tried.nodes.run_for(settling);
+    CHECK(tried.is_open(home));
+}
+
 TEST_CASE("a moved key that its previous home has run is sent there")
 {
     settled_fleet tried;
