Store rules and remembered changes as arrays, with few texts

Cause: the document is written whole with each change: 189.3 KB x 0.28/s = 53 KB/s at a node that all operators use, over its 29 KB/s. Change: rules and change records are arrays of their fields; only the 32 newest records keep the command's text.

--- a/src/codec/internal/base_json.hpp
+++ b/src/codec/internal/base_json.hpp
@@ -74,6 +74,24 @@
     }
 }
 
+// Reads an element of an array; a missing one leaves the target as it is.
+template <class T>
+void read_element(json const& source, std::size_t index, T& target)
+{
+    if (index < source.size())
+    {
+        read_value(source[index], target);
+    }
+}
+
+inline void require_array(json const& source)
+{
+    if (!source.is_array())
+    {
+        throw decode_error("not an array");
+    }
+}
+
 inline void require_object(json const& source)
 {
     if (!source.is_object())
--- a/src/codec/internal/configuration_json.hpp
+++ b/src/codec/internal/configuration_json.hpp
@@ -15,19 +15,52 @@
                    attempt_budget,
                    deadline,
                    is_protected)
-PLANTAINTALLY_JSON(configuration::match_rule,
-                   "match_rule",
-                   name,
-                   service,
-                   method,
-                   path_prefix,
-                   rank)
-PLANTAINTALLY_JSON(configuration::change_record,
-                   "change_record",
-                   change_id,
-                   revision,
-                   text,
-                   object)
+
+// Rules and remembered changes are nearly all of the document, which is written
+// whole with each change, so they are arrays of their fields in order. Further
+// elements are ignored and missing ones keep their defaults.
+template <>
+struct value_codec<configuration::match_rule>
+{
+    static json write(configuration::match_rule const& source)
+    {
+        return json::array({source.name,
+                            source.service,
+                            source.method,
+                            source.path_prefix,
+                            source.rank});
+    }
+
+    static void read(json const& source, configuration::match_rule& target)
+    {
+        require_array(source);
+        read_element(source, 0, target.name);
+        read_element(source, 1, target.service);
+        read_element(source, 2, target.method);
+        read_element(source, 3, target.path_prefix);
+        read_element(source, 4, target.rank);
+    }
+};
+
+template <>
+struct value_codec<configuration::change_record>
+{
+    static json write(configuration::change_record const& source)
+    {
+        return json::array(
+            {source.change_id, source.revision, source.object, source.text});
+    }
+
+    static void read(json const& source, configuration::change_record& target)
+    {
+        require_array(source);
+        read_element(source, 0, target.change_id);
+        read_element(source, 1, target.revision);
+        read_element(source, 2, target.object);
+        read_element(source, 3, target.text);
+    }
+};
+
 PLANTAINTALLY_JSON(configuration::document,
                    "document",
                    revision,
--- a/src/codec/internal/membership_json.hpp
+++ b/src/codec/internal/membership_json.hpp
@@ -29,10 +29,7 @@
 
     static void read(json const& source, membership::member_record& target)
     {
-        if (!source.is_array())
-        {
-            throw decode_error("not an array");
-        }
+        require_array(source);
         auto status = static_cast<std::uint32_t>(target.status);
         read_element(source, 0, target.node.address);
         read_element(source, 1, target.node.incarnation);
@@ -48,16 +45,6 @@
         }
         target.status = static_cast<membership::member_status>(status);
     }
-
-private:
-    template <class T>
-    static void read_element(json const& source, std::size_t index, T& target)
-    {
-        if (index < source.size())
-        {
-            read_value(source[index], target);
-        }
-    }
 };
 
 PLANTAINTALLY_JSON(membership::heartbeat,
--- a/src/configuration/document.hpp
+++ b/src/configuration/document.hpp
@@ -51,6 +51,7 @@
     // The revision that the change made; zero in the newest record as stored,
     // since the platform's service gives it with the write.
     std::uint64_t revision = 0;
+    // The command as typed; dropped from all but the newest records.
     std::string text;
     // What the change touched: "rank:NAME", "rule:NAME" or "node:ADDRESS".
     // Changes that touch different objects commute.
--- a/src/configuration/internal/change_rules.cpp
+++ b/src/configuration/internal/change_rules.cpp
@@ -22,6 +22,9 @@
 constexpr std::size_t max_rules = 4096;
 constexpr std::size_t max_drained_nodes = 16'384;
 constexpr std::size_t max_text_bytes = 256;
+// Records that keep the command's text; older ones only tell accepted changes
+// from others and what they touched.
+constexpr std::size_t max_texts = 32;
 constexpr std::uint32_t max_urgency = 1000;
 constexpr std::uint32_t max_worth = 1000;
 constexpr std::uint32_t max_attempt_budget = 10;
@@ -328,11 +331,12 @@
     {
         if (record.revision > base_revision && record.object == object)
         {
+            std::string const what =
+                record.text.empty() ? "" : in_quotes(record.text) + ", ";
             return fail(errc::conflict,
                         std::string(object) + " was changed by revision " +
-                            std::to_string(record.revision) + ", " +
-                            in_quotes(record.text) + ", after revision " +
-                            std::to_string(base_revision));
+                            std::to_string(record.revision) + ", " + what +
+                            "after revision " + std::to_string(base_revision));
         }
     }
     return BOOST_OUTCOME_V2_NAMESPACE::success();
@@ -361,6 +365,11 @@
     {
         successor.changes.erase(successor.changes.begin());
     }
+    if (successor.changes.size() > max_texts)
+    {
+        successor.changes[successor.changes.size() - max_texts - 1]
+            .text.clear();
+    }
     return successor;
 }
 
--- a/src/configuration/tests/change_rules_test.cpp
+++ b/src/configuration/tests/change_rules_test.cpp
@@ -121,6 +121,7 @@
             toggle = change_of(undrain_node{"10.0.0.1:1"});
         }
         toggle.change_id = std::to_string(revision);
+        toggle.text = "toggle";
         result<document> made = make_successor(content, toggle);
         REQUIRE(made.has_value());
         content = made.value();
@@ -128,6 +129,8 @@
     }
     CHECK(content.changes.size() == max_change_records);
     CHECK(find_change(content, "600")->revision == 600);
+    CHECK(find_change(content, "600")->text == "toggle");
+    CHECK(find_change(content, "500")->text.empty());
     CHECK(find_change(content, "89")->revision == 89);
     CHECK(find_change(content, "88") == nullptr);
     CHECK(check_commutes(content, 89, "rank:other").has_value());
