Show one booking's way through all processes in the demo

Cause: the newest lines of the whole time line tell a reader little. Change: records name the request's last id; the demo asks `why` for the late booking with the most executions.

--- a/src/standin/caller_report.hpp
+++ b/src/standin/caller_report.hpp
@@ -57,6 +57,8 @@
 {
     std::string class_name;
     std::string key;
+    // The id of the last try.
+    std::string request_id;
     double start_ms = 0;
     double end_ms = 0;
     std::uint32_t tries = 0;
--- a/src/standin/internal/caller.cpp
+++ b/src/standin/internal/caller.cpp
@@ -144,6 +144,7 @@
         }
     }
     record.end_ms = this->elapsed_ms();
+    record.request_id = try_ids.back();
     this->report.add(std::move(record));
     --this->in_flight;
 }
--- a/src/standin/internal/caller_report.cpp
+++ b/src/standin/internal/caller_report.cpp
@@ -243,6 +243,7 @@
     {
         json const line = {{"class", record.class_name},
                            {"key", record.key},
+                           {"request", record.request_id},
                            {"start_ms", record.start_ms},
                            {"end_ms", record.end_ms},
                            {"tries", record.tries},
--- a/tools/measurement/demo.py
+++ b/tools/measurement/demo.py
@@ -14,6 +14,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 PHASE_S = (8, 10, 10)
 TIMELINE_LINES = 25
+# Nodes keep the entries of about the last seconds.
+RECENT_S = 3
 DEFAULT_BASE_PORT = 20000
 
 
@@ -26,6 +28,16 @@
         print(f"... {len(shown) - lines} more lines")
 
 
+def _recent_booking(load):
+    """The id of a late booking that took the most executions, or None."""
+    recent = [r for r in load.records if r["class"] == "booking"
+              and r["end"] == "whole"
+              and r["end_ms"] / 1000 > load.run_s - RECENT_S]
+    if not recent:
+        return None
+    return max(recent, key=lambda record: record["attempts"])["request"]
+
+
 def _run(context):
     deployment = context.deployment("ch-mitte")
     print(f"Starting the platform, {len(deployment.upstreams())} upstreams "
@@ -43,8 +55,13 @@
         surge.fill(result, load, capacity)
         results.print_table([result])
         _show(fleet, "what the nodes did", "show work last 60s")
-        _show(fleet, "the time line of all processes",
-              "show timeline last 30s", TIMELINE_LINES)
+        request = _recent_booking(load)
+        if request:
+            _show(fleet, "one booking, over all processes",
+                  f"why {request}", TIMELINE_LINES)
+        else:
+            _show(fleet, "the time line of all processes",
+                  "show timeline last 30s", TIMELINE_LINES)
         chart.write_svg([result], context.out / "demo.svg")
     print(f"\nEverything is stopped. Logs and a plot are in {context.out}.")
 
