--- a/src/node/exchange.hpp
+++ b/src/node/exchange.hpp
@@ -53,6 +53,9 @@
     duration waited{};
     // The worst that is known of the ended ones.
     verdict outcome = verdict::not_run;
+    // True if one of them was refused or failed, whatever its level: a refusal
+    // by the upstream after that is no sign of the upstream's own load.
+    bool is_refused = false;
     // The highest level at which one of them was refused.
     std::uint32_t refused_level = 0;
 };
--- a/src/node/internal/attempt.cpp
+++ b/src/node/internal/attempt.cpp
@@ -110,7 +110,8 @@
 {
     bool const is_due =
         node.own.is_policy_enabled && answered.is_upstream_refusal &&
-        !item.is_answered && item.upstream_refusals < max_upstream_refusals &&
+        !item.downstream.is_refused && !item.is_answered &&
+        item.upstream_refusals < max_upstream_refusals &&
         fold_verdict(item, verdict::not_run) == verdict::not_run;
     if (!is_due)
     {
@@ -130,7 +131,7 @@
 {
     bool const is_refused =
         answered.is_upstream_refusal || answered.status == unavailable_status;
-    bool const is_from_below = item.downstream.refused_level > 0;
+    bool const is_from_below = item.downstream.is_refused;
     auto kind = admission::sample_kind::completed;
     if (is_refused)
     {
--- a/src/node/internal/baseline.cpp
+++ b/src/node/internal/baseline.cpp
@@ -7,12 +7,6 @@
 {
 
 constexpr std::uint32_t blind_retries = 3;
-constexpr std::uint32_t first_server_error = 500;
-
-bool has_failed(sending_outcome const& ended)
-{
-    return ended.reason.has_value() || ended.status >= first_server_error;
-}
 
 } // namespace
 
--- a/src/node/internal/conclude.cpp
+++ b/src/node/internal/conclude.cpp
@@ -194,8 +194,7 @@
               step& current)
 {
     sending_outcome known = ended;
-    bool const is_in_doubt =
-        item.may_have_run || !is_key_decided(item, known);
+    bool const is_in_doubt = item.may_have_run || !is_key_decided(item, known);
     if (known.outcome == verdict::not_run && is_in_doubt)
     {
         known.outcome = verdict::may_have_run;
--- a/src/node/internal/downstream.cpp
+++ b/src/node/internal/downstream.cpp
@@ -69,6 +69,11 @@
     ++calls.open;
 }
 
+bool has_failed(sending_outcome const& ended)
+{
+    return ended.reason.has_value() || ended.status >= first_server_error;
+}
+
 void detach_child(state& node,
                   exchange const& child,
                   sending_outcome const& ended,
@@ -93,6 +98,8 @@
     parent->retries_left += child.retries_left;
     parent->executions += child.executions;
     close_call(parent->downstream, now);
+    parent->downstream.is_refused =
+        parent->downstream.is_refused || has_failed(ended);
     if (is_refused_for_level(child, ended))
     {
         parent->downstream.refused_level =
@@ -109,9 +116,7 @@
 
 bool was_shed_below(exchange const& item, sending_outcome const& ended)
 {
-    bool const has_failed =
-        ended.reason.has_value() || ended.status >= first_server_error;
-    return has_failed && item.downstream.refused_level > 0;
+    return has_failed(ended) && item.downstream.refused_level > 0;
 }
 
 } // namespace plantaintally::node
--- a/src/node/internal/request_path.hpp
+++ b/src/node/internal/request_path.hpp
@@ -105,6 +105,8 @@
                   instant now);
 // The verdict of the exchange if its sending ended with `own`.
 verdict fold_verdict(exchange const& item, verdict own);
+// True for a refusal, and for an answer that tells of a failure.
+bool has_failed(sending_outcome const& ended);
 bool was_shed_below(exchange const& item, sending_outcome const& ended);
 
 // upstream.cpp: the upstream's announcements, drains and the planned stop.
