Judge cuts of the limit over windows that are long enough

Cause: with service times of an ordinary spread (exponential), windows of 8 requests took noise for growth and noise for the effect of a cut; an upstream that had turned slow kept 7.4 of its 10 slots at work, one that slows under load was never cut. Two tests that draw such times failed. Ruled out: a low estimate as the measure of growth (at rest the mean is already 1.5 to 2.5 times it); smaller cuts (a cut of a fifth can't be told from noise in 256 requests). Change: growth is the mean of 256 requests against the usual time of the last minute; a cut to 0.7 on trial is kept if growth falls below 0.85 of what it was, else taken back and not tried for a minute. The test of a kept cut first shows the upstream 50 requests at low load, since the usual time needs some tens.

--- a/src/admission/concurrency_limit.hpp
+++ b/src/admission/concurrency_limit.hpp
@@ -40,18 +40,30 @@
     // Moving mean of the whole time, and of its distance from the mean.
     double mean_us = 0;
     double deviation_us = 0;
-    double mean_own_us = 0;
+    // Mean own time over the last minute, outliers clipped.
+    double usual_us = 0;
+    std::uint32_t samples = 0;
     instant updated_at{};
 };
 
+// Own times as multiples of the usual ones, over a window that is long enough
+// to tell a change of their mean from their spread.
+struct growth_window
+{
+    std::uint32_t samples = 0;
+    double sum = 0;
+    // True if the limit was fully used all the time.
+    bool is_used = true;
+};
+
 // A cut of the limit because own times grew, until it has shown whether fewer
 // requests at a time are faster. Times that don't fall with the limit have
 // another cause, and a lower limit only costs throughput.
 struct limit_trial
 {
     bool is_running = false;
-    // True if own times were grown in the last window too.
-    bool has_grown = false;
+    // Mean growth of the window before the current one.
+    double last_growth = 0;
     double value_before = 0;
     double growth_before = 0;
     // Requests that end before were mostly started before the cut.
@@ -61,8 +73,8 @@
 };
 
 // The limit and what it is computed from. It is raised by a little when it is
-// fully used and own times are as at low load. It is lowered by a share when
-// own times grow, and at once to what ran when the upstream refuses one more.
+// fully used and own times are as usual. It is lowered on trial when own times
+// grow, and at once to what ran when the upstream refuses one more.
 struct concurrency_limit
 {
     double value = 1;
@@ -75,11 +87,10 @@
     instant window_start{};
     std::uint32_t samples = 0;
     std::uint32_t refusals = 0;
-    double growth_sum = 0;
-    double time_sum_us = 0;
-    instant raise_after{};
-    limit_trial trial;
     std::uint32_t most_in_flight = 0;
+    growth_window growth;
+    limit_trial trial;
+    instant raise_after{};
 };
 
 // A new upstream with this many slots, slow until `cold_start` has passed.
--- a/src/admission/internal/concurrency_limit.cpp
+++ b/src/admission/internal/concurrency_limit.cpp
@@ -15,18 +15,32 @@
 constexpr double mean_weight = 0.1;
 // The baseline follows lower times quickly and higher ones slowly.
 constexpr double baseline_down_weight = 0.2;
-constexpr duration baseline_memory = std::chrono::seconds(60);
-// Own times above this multiple of the baseline are taken for overload.
+// Time constant of the baseline upward and of the usual time.
+constexpr duration time_memory = std::chrono::seconds(60);
+// The usual time is the plain mean of the first requests.
+constexpr std::uint32_t first_samples = 32;
+// Own times above this multiple of the usual time are clipped in it, and a
+// window whose mean is above it is taken for overload.
 constexpr double tolerated_growth = 2.0;
-constexpr double max_counted_growth = 10.0;
-// Strongest cut of the limit by one window.
-constexpr double strongest_cut = 0.7;
-// A window in which the upstream refused more than this is cut by that much.
+constexpr double max_counted_growth = 50.0;
+// With the spread of an exponential distribution, the mean of this many times
+// is within a sixteenth of the true one in two of three cases.
+constexpr std::uint32_t growth_window_samples = 256;
+// What is left of the limit by a cut on trial, and the share of the growth
+// before it, halfway to that, below which the cut has helped.
+constexpr double trial_share = 0.7;
+constexpr double helped_share = 0.85;
+// Mean service times that a cut is given to take effect.
+constexpr int settling_times = 2;
+// After a cut that was of no use there is none for this long, unless the times
+// have grown by this much more.
+constexpr duration cut_hold = std::chrono::seconds(60);
+constexpr double changed_growth = 1.5;
+// After a cut that helped the limit is not raised for this long.
+constexpr duration kept_cut_hold = std::chrono::seconds(30);
+// What is left of the limit after a window that was mostly refused.
+constexpr double refused_window_share = 0.7;
 constexpr double mostly_refused = 0.5;
-// Weakest cut for growth: its effect has to be seen.
-constexpr double weakest_cut = 0.85;
-// After a cut that was of no use there is none for this long.
-constexpr duration cut_hold = std::chrono::seconds(2);
 // After a refusal the limit is not raised for this long.
 constexpr duration refusal_hold = std::chrono::seconds(1);
 constexpr double growth_share = 0.05;
@@ -46,40 +60,75 @@
     return old == 0 ? fresh : old + weight * (fresh - old);
 }
 
-// Weight of a sample that stands for this span of time in the baseline.
+// Weight of a sample that stands for this span of time.
 double share_of_memory(duration span)
 {
     return std::min(1.0,
                     static_cast<double>(span.count()) /
-                        static_cast<double>(baseline_memory.count()));
+                        static_cast<double>(time_memory.count()));
 }
 
-void note_times(concurrency_limit& limit,
-                std::string_view rank,
-                load_sample const& sample,
-                instant now)
+service_times& times_of(concurrency_limit& limit, std::string_view rank)
 {
     auto found = limit.times.find(rank);
     if (found == limit.times.end())
     {
         found = limit.times.emplace(std::string(rank), service_times{}).first;
     }
-    service_times& times = found->second;
+    return found->second;
+}
+
+void note_own_time(service_times& times, double own, instant now)
+{
+    ++times.samples;
+    double const recent = share_of_memory(now - times.updated_at);
+    times.updated_at = now;
+    double const baseline_weight =
+        own < times.baseline_us ? baseline_down_weight : recent;
+    times.baseline_us = blend(times.baseline_us, own, baseline_weight);
+    if (times.samples <= first_samples)
+    {
+        times.usual_us = blend(times.usual_us, own, 1.0 / times.samples);
+        return;
+    }
+    double const clipped = std::min(own, tolerated_growth * times.usual_us);
+    times.usual_us = blend(times.usual_us, clipped, recent);
+}
+
+void note_growth(concurrency_limit& limit, double own, double usual)
+{
+    ++limit.growth.samples;
+    limit.growth.sum += std::min(own / usual, max_counted_growth);
+}
+
+void note_times(concurrency_limit& limit,
+                std::string_view rank,
+                load_sample const& sample,
+                instant now)
+{
+    service_times& times = times_of(limit, rank);
     auto const own =
         static_cast<double>(std::max<duration::rep>(sample.own.count(), 1));
     auto const total = static_cast<double>(sample.total.count());
-    double const weight = own < times.baseline_us
-                              ? baseline_down_weight
-                              : share_of_memory(now - times.updated_at);
-    times.updated_at = now;
-    times.baseline_us = blend(times.baseline_us, own, weight);
+    note_own_time(times, own, now);
     times.deviation_us =
         blend(times.deviation_us, std::abs(total - times.mean_us), mean_weight);
     times.mean_us = blend(times.mean_us, total, mean_weight);
     limit.mean_us = blend(limit.mean_us, total, mean_weight);
-    times.mean_own_us = blend(times.mean_own_us, own, mean_weight);
-    limit.time_sum_us += total;
-    limit.growth_sum += std::min(own / times.baseline_us, max_counted_growth);
+    note_growth(limit, own, times.usual_us);
+}
+
+// A request that timed out took at least the time until then.
+void note_time_out(concurrency_limit& limit,
+                   std::string_view rank,
+                   load_sample const& sample)
+{
+    double const usual = times_of(limit, rank).usual_us;
+    if (usual > 0)
+    {
+        auto const own = static_cast<double>(sample.own.count());
+        note_growth(limit, std::max(own, usual), usual);
+    }
 }
 
 bool is_window_over(concurrency_limit const& limit, instant now)
@@ -93,32 +142,49 @@
     return now - limit.window_start >= length;
 }
 
-void start_trial(concurrency_limit& limit, double growth, instant now)
+double start_trial(concurrency_limit& limit, double growth, instant now)
 {
-    duration const mean = from_us(limit.time_sum_us / limit.samples);
     limit.trial.is_running = true;
     limit.trial.value_before = limit.value;
     limit.trial.growth_before = growth;
-    limit.trial.judge_after = now + mean;
+    limit.trial.judge_after = now + settling_times * from_us(limit.mean_us);
+    return limit.value * trial_share;
 }
 
-// Keeps the cut if it made requests faster; otherwise takes it back, and takes
-// the present times for those at low load.
+// Keeps the cut if it made requests faster; otherwise takes it back.
 double judge_trial(concurrency_limit& limit, double growth, instant now)
 {
     limit.trial.is_running = false;
-    // Half of the effect that the cut has if concurrency is the cause.
-    double const cut = limit.value / limit.trial.value_before;
-    if (growth < limit.trial.growth_before * (1.0 + cut) / 2.0)
+    if (growth < helped_share * limit.trial.growth_before)
     {
+        limit.raise_after = now + kept_cut_hold;
         return limit.value;
     }
     limit.trial.next_cut = now + cut_hold;
-    for (auto& [rank, times] : limit.times)
+    return std::max(limit.value, limit.trial.value_before);
+}
+
+// The limit after a whole window of own times.
+double value_by_growth(concurrency_limit& limit, instant now)
+{
+    growth_window const window = limit.growth;
+    limit.growth = growth_window{};
+    double const growth = window.sum / window.samples;
+    if (limit.trial.is_running)
     {
-        times.baseline_us = std::max(times.baseline_us, times.mean_own_us);
+        return judge_trial(limit, growth, now);
     }
-    return limit.trial.value_before;
+    // A window that saw the times change midway is no measure for a trial.
+    bool const is_lasting =
+        limit.trial.last_growth > tolerated_growth && growth > tolerated_growth;
+    limit.trial.last_growth = growth;
+    bool const may_cut = now >= limit.trial.next_cut ||
+                         growth > changed_growth * limit.trial.growth_before;
+    if (!window.is_used || !is_lasting || !may_cut)
+    {
+        return limit.value;
+    }
+    return start_trial(limit, growth, now);
 }
 
 double next_value(concurrency_limit& limit, instant now)
@@ -126,26 +192,16 @@
     double const samples = limit.samples;
     if (limit.refusals / samples > mostly_refused)
     {
-        return limit.value * strongest_cut;
-    }
-    double const growth = limit.growth_sum / samples;
-    if (limit.trial.is_running)
-    {
-        return judge_trial(limit, growth, now);
+        limit.trial.is_running = false;
+        return limit.value * refused_window_share;
     }
-    // Load that has just risen makes the first window a mixed one.
-    bool const was_grown = limit.trial.has_grown;
-    limit.trial.has_grown = growth > tolerated_growth;
-    bool const is_grown = was_grown && limit.trial.has_grown;
-    if (is_grown && now >= limit.trial.next_cut)
+    bool const is_used = limit.most_in_flight >= used_share * limit.value;
+    limit.growth.is_used = limit.growth.is_used && is_used;
+    if (limit.growth.samples >= growth_window_samples)
     {
-        start_trial(limit, growth, now);
-        return limit.value * std::clamp(tolerated_growth / growth,
-                                        strongest_cut,
-                                        weakest_cut);
+        return value_by_growth(limit, now);
     }
-    bool const is_used = limit.most_in_flight >= used_share * limit.value;
-    if (is_used && now >= limit.raise_after)
+    if (is_used && !limit.trial.is_running && now >= limit.raise_after)
     {
         return limit.value + std::max(1.0, growth_share * limit.value);
     }
@@ -165,6 +221,7 @@
     double const taken = in_flight == 0 ? 0 : in_flight - 1;
     limit.value = std::max(least_value(limit), std::min(limit.value, taken));
     limit.raise_after = now + refusal_hold;
+    limit.trial.is_running = false;
 }
 
 void restart_window(concurrency_limit& limit, instant now)
@@ -172,8 +229,6 @@
     limit.window_start = now;
     limit.samples = 0;
     limit.refusals = 0;
-    limit.growth_sum = 0;
-    limit.time_sum_us = 0;
     limit.most_in_flight = 0;
 }
 
@@ -225,8 +280,7 @@
     }
     else if (sample.kind == sample_kind::timed_out)
     {
-        limit.growth_sum += max_counted_growth;
-        limit.time_sum_us += static_cast<double>(sample.total.count());
+        note_time_out(limit, rank, sample);
     }
     else
     {
@@ -234,6 +288,7 @@
     }
     if (limit.trial.is_running && now < limit.trial.judge_after)
     {
+        limit.growth = growth_window{};
         return restart_window(limit, now);
     }
     if (!is_window_over(limit, now))
--- a/src/admission/tests/admission_test.cpp
+++ b/src/admission/tests/admission_test.cpp
@@ -129,6 +129,16 @@
     state upstream = open_upstream(100);
     instant now = start + 1s;
     duration least = 10ms;
+    // The usual time is that of some tens of requests.
+    for (int sample = 0; sample < 50; ++sample)
+    {
+        now += 3ms;
+        note_sample(upstream.limit,
+                    "booking",
+                    {sample_kind::completed, least, least},
+                    1,
+                    now);
+    }
     for (int sample = 0; sample < 2000; ++sample)
     {
         now += 3ms;
--- /dev/null
+++ b/src/admission/tests/slow_upstream_test.cpp
@@ -0,0 +1,83 @@
+#include "admission/concurrency_limit.hpp"
+#include "base/random.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <cmath>
+#include <functional>
+
+using namespace plantaintally;
+using namespace plantaintally::admission;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// A fully used upstream in virtual time. Service times have the spread of an
+// exponential distribution around a mean that depends on how many run.
+class used_upstream
+{
+public:
+    explicit used_upstream(std::uint32_t slots)
+    {
+        open_limit(this->limit, slots, 0s, this->now);
+    }
+
+    void run(duration length, std::function<double(double)> const& mean_us)
+    {
+        instant const end = this->now + length;
+        while (this->now < end)
+        {
+            std::uint32_t const running = allowed(this->limit, this->now);
+            double const mean = mean_us(running);
+            double const drawn =
+                -mean * std::log(1.0 - draw_fraction(this->random));
+            duration const took(static_cast<duration::rep>(drawn));
+            // One of those that run ends after its part of the mean.
+            this->now += duration(static_cast<duration::rep>(mean / running));
+            note_sample(this->limit,
+                        "booking",
+                        {sample_kind::completed, took, took},
+                        running,
+                        this->now);
+        }
+    }
+
+    concurrency_limit limit;
+    instant now{100s};
+
+private:
+    random_source random{5};
+};
+
+} // namespace
+
+TEST_CASE("an upstream that turns slow keeps nine tenths of its slots at work")
+{
+    used_upstream upstream(10);
+    upstream.run(20s, [](double) { return 200'000.0; });
+    REQUIRE(allowed(upstream.limit, upstream.now) >= 9);
+    upstream.run(10s, [](double) { return 400'000.0; });
+    double slots_seen = 0;
+    for (int second = 0; second < 60; ++second)
+    {
+        upstream.run(1s, [](double) { return 400'000.0; });
+        slots_seen += allowed(upstream.limit, upstream.now);
+    }
+    CHECK(slots_seen / 60 >= 9);
+}
+
+TEST_CASE("an upstream whose times grow with its load is given less")
+{
+    // 40 slots are announced, but beyond 10 every request slows the others.
+    auto const shared = [](double running)
+    {
+        return 20'000.0 * std::max(1.0, running / 10.0);
+    };
+    used_upstream upstream(40);
+    upstream.limit.value = 10;
+    upstream.run(5s, [](double) { return 20'000.0; });
+    upstream.limit.value = 40;
+    upstream.run(60s, shared);
+    CHECK(allowed(upstream.limit, upstream.now) <= 30);
+}
