Tell the at-most-once protocol of vouchers that come later

Cause: the protocol heard of other services' nodes only when its own service changed; a small service that started first kept its one voucher for ever, and lost vouchers were not replaced.

--- a/src/node/internal/upstream.cpp
+++ b/src/node/internal/upstream.cpp
@@ -8,6 +8,9 @@
 namespace
 {
 
+// The at-most-once protocol is told of the whole fleet at most this often.
+constexpr duration fleet_interval = std::chrono::seconds(5);
+
 void open_admission(state& node, duration cold_start, step& current)
 {
     upstream_announcement const& upstream = *node.lifecycle.upstream;
@@ -127,6 +130,8 @@
           current);
 }
 
+// Members of other services can vouch, so the at-most-once protocol has to
+// learn of them too; the list of a large fleet is not made for every change.
 void follow_members(state& node, step& current)
 {
     std::uint64_t const version = membership::view_version(node.membership);
@@ -134,13 +139,16 @@
     {
         return;
     }
-    node.known_view_version = version;
     auto const members =
         membership::members_of(node.membership, node.own_service);
-    if (std::ranges::equal(members, node.known_members))
+    bool const is_own_news = !std::ranges::equal(members, node.known_members);
+    instant const now = current.now.monotonic;
+    if (!is_own_news && now < node.fleet_told_at + fleet_interval)
     {
         return;
     }
+    node.known_view_version = version;
+    node.fleet_told_at = now;
     node.known_members.assign(members.begin(), members.end());
     auto const fleet = membership::all_members(node.membership);
     once::handle_members(
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -62,6 +62,8 @@
     // The members of the own service that the at-most-once protocol knows.
     std::vector<membership::member_record> known_members;
     std::uint64_t known_view_version = 0;
+    // When that protocol was last told of the whole fleet.
+    instant fleet_told_at{};
     // The newest word of the upstream's health endpoint; decides nothing.
     health_hint health;
     bool is_started = false;
