Give heartbeats and lookups of membership files of their own

Cause: membership.cpp had 675 lines and four jobs. Change: who heartbeats go to, and what the view answers, moved to heartbeats.cpp and lookup.cpp; no change of behaviour. Conclusion: 468 lines are left there.

--- /dev/null
+++ b/src/membership/internal/lookup.cpp
@@ -0,0 +1,149 @@
+#include "membership/internal/lookup.hpp"
+
+#include "membership/internal/anti_entropy.hpp"
+#include "membership/internal/view.hpp"
+#include "membership/membership.hpp"
+
+#include <algorithm>
+
+namespace plantaintally::membership
+{
+
+namespace
+{
+
+// Peers asked for the members of an unknown service, and how long their
+// answers are awaited and a negative answer is relied on.
+constexpr std::size_t question_fanout = 3;
+constexpr duration question_timeout = std::chrono::milliseconds(500);
+constexpr duration question_lifetime = std::chrono::seconds(5);
+// Unknown services asked for at the same time; callers choose the names.
+constexpr std::size_t max_questions = 256;
+
+} // namespace
+
+void forget_questions(state& membership, instant now)
+{
+    std::erase_if(membership.questions,
+                  [now](auto const& entry)
+                  { return now - entry.second.asked_at >= question_lifetime; });
+}
+
+std::span<member_record const> members_of(state const& membership,
+                                          std::string_view service)
+{
+    auto const found = membership.services.find(service);
+    if (found == membership.services.end())
+    {
+        return {};
+    }
+    return found->second;
+}
+
+service_knowledge
+request_service(state& membership, std::string_view service, step& current)
+{
+    if (!members_of(membership, service).empty())
+    {
+        return service_knowledge::known;
+    }
+    instant const now = current.now.monotonic;
+    bool const is_new = !membership.questions.contains(service);
+    if (is_new && membership.questions.size() >= max_questions)
+    {
+        return service_knowledge::absent;
+    }
+    auto const place =
+        membership.questions.try_emplace(std::string(service)).first;
+    service_question& question = place->second;
+    bool const is_open =
+        question.asked_peers > 0 && now - question.asked_at < question_lifetime;
+    if (!is_open)
+    {
+        question = service_question{};
+        question.asked_at = now;
+        for (std::string const& address :
+             draw_peers(membership, question_fanout, current))
+        {
+            ask_service(membership, service, address, current);
+            question.asked_peers += 1;
+        }
+    }
+    bool const is_settled = question.negative_answers >= question.asked_peers ||
+                            now - question.asked_at >= question_timeout;
+    return is_settled ? service_knowledge::absent : service_knowledge::awaited;
+}
+
+member_record const* find_member(state const& membership,
+                                 std::string_view address)
+{
+    member_record const* const held = find_record(membership, address);
+    bool const is_live = held != nullptr && held->status != member_status::gone;
+    return is_live ? held : nullptr;
+}
+
+std::uint64_t view_version(state const& membership)
+{
+    return membership.view_version;
+}
+
+std::size_t member_count(state const& membership)
+{
+    return membership.service_by_address.size();
+}
+
+std::vector<std::string>
+draw_peers(state const& membership, std::size_t count, step& current)
+{
+    std::string const& self = membership.own.self.address;
+    bool const holds_self = membership.service_by_address.contains(self);
+    std::size_t const total = member_count(membership);
+    std::size_t const available = total - (holds_self ? 1 : 0);
+    std::vector<std::string> drawn;
+    if (available == 0)
+    {
+        drawn = membership.own.contacts;
+        std::erase(drawn, self);
+        while (drawn.size() > count)
+        {
+            drawn.erase(drawn.begin() + static_cast<std::ptrdiff_t>(draw_below(
+                                            current.random, drawn.size())));
+        }
+        return drawn;
+    }
+    while (drawn.size() < std::min(count, available))
+    {
+        std::size_t index = draw_below(current.random, total);
+        auto service = membership.services.begin();
+        while (index >= service->second.size())
+        {
+            index -= service->second.size();
+            ++service;
+        }
+        std::string const& address = service->second[index].node.address;
+        bool const is_drawn =
+            std::find(drawn.begin(), drawn.end(), address) != drawn.end();
+        if (address != self && !is_drawn)
+        {
+            drawn.push_back(address);
+        }
+    }
+    return drawn;
+}
+
+std::vector<member_record> all_members(state const& membership)
+{
+    std::vector<member_record> members;
+    members.reserve(member_count(membership));
+    for (auto const& [service, records] : membership.services)
+    {
+        members.insert(members.end(), records.begin(), records.end());
+    }
+    std::sort(members.begin(),
+              members.end(),
+              [](member_record const& left, member_record const& right)
+              { return left.node.address < right.node.address; });
+    return members;
+}
+
+} // namespace plantaintally::membership
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -4,6 +4,8 @@
 #include "membership/internal/cell.hpp"
 #include "membership/internal/contacts.hpp"
 #include "membership/internal/failure_detector.hpp"
+#include "membership/internal/heartbeats.hpp"
+#include "membership/internal/lookup.hpp"
 #include "membership/internal/news.hpp"
 #include "membership/internal/send.hpp"
 #include "membership/internal/view.hpp"
@@ -35,13 +37,6 @@
 // Random peers that hear at once that this node leaves, since it will not be
 // there to pass it on.
 constexpr std::size_t leaving_fanout = 8;
-// Peers asked for the members of an unknown service, and how long their
-// answers are awaited and a negative answer is relied on.
-constexpr std::size_t question_fanout = 3;
-constexpr duration question_timeout = std::chrono::milliseconds(500);
-constexpr duration question_lifetime = std::chrono::seconds(5);
-// Unknown services asked for at the same time; callers choose the names.
-constexpr std::size_t max_questions = 256;
 
 instant after(duration base, step& current)
 {
@@ -49,84 +44,6 @@
            draw_jittered(current.random, base, period_jitter);
 }
 
-// Everyone who watches this node.
-std::vector<std::string> watchers_of_self(state const& membership)
-{
-    std::vector<std::string> targets = membership.cell;
-    targets.insert(targets.end(),
-                   membership.outside_watchers.begin(),
-                   membership.outside_watchers.end());
-    return targets;
-}
-
-// Whom the next heartbeat goes to: some of the cell, and the outside watchers,
-// who get no digests of this cell.
-std::vector<std::string> draw_heartbeat_targets(state const& membership,
-                                                step& current)
-{
-    std::vector<std::string> targets = membership.cell;
-    std::size_t const wanted =
-        std::min(targets.size(), membership.own.heartbeat_fanout);
-    for (std::size_t index = 0; index < wanted; ++index)
-    {
-        std::size_t const chosen =
-            index + draw_below(current.random, targets.size() - index);
-        std::swap(targets[index], targets[chosen]);
-    }
-    targets.resize(wanted);
-    targets.insert(targets.end(),
-                   membership.outside_watchers.begin(),
-                   membership.outside_watchers.end());
-    return targets;
-}
-
-heartbeat make_heartbeat(state& membership, instant now)
-{
-    heartbeat beat;
-    beat.heard = heard_lately(membership, now);
-    beat.news = heartbeat_news(membership);
-    beat.view_hash = hash_service(membership, membership.self_record->service);
-    beat.configuration_revision = membership.configuration_revision;
-    return beat;
-}
-
-void send_heartbeats(state& membership, step& current)
-{
-    heartbeat const beat = make_heartbeat(membership, current.now.monotonic);
-    for (std::string const& address :
-         draw_heartbeat_targets(membership, current))
-    {
-        send(address, beat, current);
-    }
-}
-
-// Chooses outside watchers anew, and tells those that watch no more.
-void choose_watchers(state& membership, step& current)
-{
-    std::vector<std::string> const dropped =
-        refresh_outside_watchers(membership);
-    if (dropped.empty())
-    {
-        return;
-    }
-    heartbeat last = make_heartbeat(membership, current.now.monotonic);
-    last.ends_watch = true;
-    for (std::string const& address : dropped)
-    {
-        send(address, last, current);
-    }
-}
-
-// Works the cell and the outside watchers out anew where that is needed.
-void refresh_targets(state& membership, step& current)
-{
-    bool const is_new = refresh_cell(membership, current.now.monotonic);
-    if (is_new || lacks_outside_watchers(membership))
-    {
-        choose_watchers(membership, current);
-    }
-}
-
 // Changes this node's own record and spreads it at once.
 void publish_self(state& membership, std::size_t fanout, step& current)
 {
@@ -329,13 +246,6 @@
     compare_views(membership, chosen->first, current);
 }
 
-void forget_questions(state& membership, instant now)
-{
-    std::erase_if(membership.questions,
-                  [now](auto const& entry)
-                  { return now - entry.second.asked_at >= question_lifetime; });
-}
-
 void beat(state& membership, step& current)
 {
     instant const now = current.now.monotonic;
@@ -555,121 +465,4 @@
     return next;
 }
 
-std::span<member_record const> members_of(state const& membership,
-                                          std::string_view service)
-{
-    auto const found = membership.services.find(service);
-    if (found == membership.services.end())
-    {
-        return {};
-    }
-    return found->second;
-}
-
-service_knowledge
-request_service(state& membership, std::string_view service, step& current)
-{
-    if (!members_of(membership, service).empty())
-    {
-        return service_knowledge::known;
-    }
-    instant const now = current.now.monotonic;
-    bool const is_new = !membership.questions.contains(service);
-    if (is_new && membership.questions.size() >= max_questions)
-    {
-        return service_knowledge::absent;
-    }
-    auto const place =
-        membership.questions.try_emplace(std::string(service)).first;
-    service_question& question = place->second;
-    bool const is_open =
-        question.asked_peers > 0 && now - question.asked_at < question_lifetime;
-    if (!is_open)
-    {
-        question = service_question{};
-        question.asked_at = now;
-        for (std::string const& address :
-             draw_peers(membership, question_fanout, current))
-        {
-            ask_service(membership, service, address, current);
-            question.asked_peers += 1;
-        }
-    }
-    bool const is_settled = question.negative_answers >= question.asked_peers ||
-                            now - question.asked_at >= question_timeout;
-    return is_settled ? service_knowledge::absent : service_knowledge::awaited;
-}
-
-member_record const* find_member(state const& membership,
-                                 std::string_view address)
-{
-    member_record const* const held = find_record(membership, address);
-    bool const is_live = held != nullptr && held->status != member_status::gone;
-    return is_live ? held : nullptr;
-}
-
-std::uint64_t view_version(state const& membership)
-{
-    return membership.view_version;
-}
-
-std::size_t member_count(state const& membership)
-{
-    return membership.service_by_address.size();
-}
-
-std::vector<std::string>
-draw_peers(state const& membership, std::size_t count, step& current)
-{
-    std::string const& self = membership.own.self.address;
-    bool const holds_self = membership.service_by_address.contains(self);
-    std::size_t const total = member_count(membership);
-    std::size_t const available = total - (holds_self ? 1 : 0);
-    std::vector<std::string> drawn;
-    if (available == 0)
-    {
-        drawn = membership.own.contacts;
-        std::erase(drawn, self);
-        while (drawn.size() > count)
-        {
-            drawn.erase(drawn.begin() + static_cast<std::ptrdiff_t>(draw_below(
-                                            current.random, drawn.size())));
-        }
-        return drawn;
-    }
-    while (drawn.size() < std::min(count, available))
-    {
-        std::size_t index = draw_below(current.random, total);
-        auto service = membership.services.begin();
-        while (index >= service->second.size())
-        {
-            index -= service->second.size();
-            ++service;
-        }
-        std::string const& address = service->second[index].node.address;
-        bool const is_drawn =
-            std::find(drawn.begin(), drawn.end(), address) != drawn.end();
-        if (address != self && !is_drawn)
-        {
-            drawn.push_back(address);
-        }
-    }
-    return drawn;
-}
-
-std::vector<member_record> all_members(state const& membership)
-{
-    std::vector<member_record> members;
-    members.reserve(member_count(membership));
-    for (auto const& [service, records] : membership.services)
-    {
-        members.insert(members.end(), records.begin(), records.end());
-    }
-    std::sort(members.begin(),
-              members.end(),
-              [](member_record const& left, member_record const& right)
-              { return left.node.address < right.node.address; });
-    return members;
-}
-
 } // namespace plantaintally::membership
