Count by caller, and keep nothing for services that don't exist

Cause: the language offers counts by caller, which no node kept. Names of services come from callers: each unknown one left a token bucket, a throttle entry and counts for ever. Change: buckets of counts know the caller, at most 200 by name a bucket; at most 2,000 services are counted by name; a request for a service without members is refused before anything is kept by its name, and doesn't count as accepted. counts_since, which nothing used, is gone.

--- a/src/node/counters.hpp
+++ b/src/node/counters.hpp
@@ -8,7 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -39,6 +39,8 @@
     std::string service;
     std::string rank;
     std::string reason;
+    // Empty in the totals, which would grow with every caller.
+    std::string caller;
 
     auto operator<=>(count_key const&) const = default;
 };
@@ -50,11 +52,13 @@
 {
     instant start{};
     counts values;
+    std::set<std::string, std::less<>> callers;
 };
 
 struct counters
 {
     counts total;
+    std::set<std::string, std::less<>> services;
     // Oldest first.
     std::deque<count_bucket> buckets;
 };
@@ -63,9 +67,13 @@
 inline constexpr duration bucket_length = std::chrono::seconds(10);
 inline constexpr std::size_t bucket_count = 60;
 
-void add(counters& all, count_key const& key, instant now);
+// Outside callers choose the names of services and may be many, so only this
+// many services, and callers in a bucket, are counted by name.
+inline constexpr std::size_t max_named_services = 2000;
+inline constexpr std::size_t max_named_callers = 200;
+inline constexpr std::string_view unnamed = "other";
 
-// The counts of the buckets that end after `from`.
-counts counts_since(counters const& all, instant from);
+// Counts one occurrence, in total and in the bucket of `now`.
+void add(counters& all, count_key const& key, instant now);
 
 } // namespace plantaintally::node
--- a/src/node/internal/answer.cpp
+++ b/src/node/internal/answer.cpp
@@ -128,6 +128,7 @@
     key.service = item.head.service;
     key.rank = item.hop.rank;
     key.reason = reason;
+    key.caller = item.head.caller;
     add(node.counted, key, current.now.monotonic);
 }
 
--- a/src/node/internal/conclude.cpp
+++ b/src/node/internal/conclude.cpp
@@ -120,7 +120,9 @@
                             ended.reason == refusal::shed_at_source ||
                             ended.reason == refusal::deadline_unreachable ||
                             ended.reason == refusal::deadline_passed;
-    if (!is_origin(item) || is_refused || tells_of_overload(ended.status))
+    bool const is_unknown = ended.reason == refusal::no_upstream;
+    if (!is_origin(item) || is_refused || is_unknown ||
+        tells_of_overload(ended.status))
     {
         return;
     }
--- a/src/node/internal/counters.cpp
+++ b/src/node/internal/counters.cpp
@@ -11,7 +11,7 @@
     instant const start = now - now.time_since_epoch() % bucket_length;
     if (all.buckets.empty() || all.buckets.back().start < start)
     {
-        all.buckets.push_back(count_bucket{start, {}});
+        all.buckets.push_back(count_bucket{start, {}, {}});
     }
     while (all.buckets.size() > bucket_count)
     {
@@ -20,6 +20,23 @@
     return all.buckets.back();
 }
 
+// The name, or "other" if as many others have been named already.
+std::string bounded_name(std::set<std::string, std::less<>>& named,
+                         std::string const& name,
+                         std::size_t limit)
+{
+    if (named.contains(name))
+    {
+        return name;
+    }
+    if (named.size() >= limit)
+    {
+        return std::string(unnamed);
+    }
+    named.insert(name);
+    return name;
+}
+
 } // namespace
 
 std::string_view to_string(count_kind kind)
@@ -52,25 +69,13 @@
 
 void add(counters& all, count_key const& key, instant now)
 {
-    ++all.total[key];
-    ++bucket_at(all, now).values[key];
-}
-
-counts counts_since(counters const& all, instant from)
-{
-    counts sum;
-    for (count_bucket const& bucket : all.buckets)
-    {
-        if (bucket.start + bucket_length <= from)
-        {
-            continue;
-        }
-        for (auto const& [key, value] : bucket.values)
-        {
-            sum[key] += value;
-        }
-    }
-    return sum;
+    count_key named = key;
+    named.service = bounded_name(all.services, key.service, max_named_services);
+    count_bucket& bucket = bucket_at(all, now);
+    named.caller = bounded_name(bucket.callers, key.caller, max_named_callers);
+    ++bucket.values[named];
+    named.caller.clear();
+    ++all.total[named];
 }
 
 } // namespace plantaintally::node
--- a/src/node/internal/operator_hook.cpp
+++ b/src/node/internal/operator_hook.cpp
@@ -16,14 +16,17 @@
 void add_samples(count_bucket const& bucket,
                  std::vector<query::work_sample>& samples)
 {
-    using group = std::tuple<std::string_view, std::string_view>;
+    using group =
+        std::tuple<std::string_view, std::string_view, std::string_view>;
     std::map<group, query::work_sample> grouped;
     for (auto const& [key, value] : bucket.values)
     {
-        query::work_sample& sample = grouped[{key.rank, key.service}];
+        query::work_sample& sample =
+            grouped[{key.rank, key.service, key.caller}];
         sample.begin = bucket.start;
         sample.rank = key.rank;
         sample.service = key.service;
+        sample.caller = key.caller;
         switch (key.kind)
         {
         case count_kind::admitted:
--- a/src/node/internal/route.cpp
+++ b/src/node/internal/route.cpp
@@ -138,6 +138,15 @@
         return refuse(
             node, item, refusal::draining, "the node is stopping", current);
     }
+    // Before anything is kept by the service's name, which callers choose.
+    if (await_members(node, item, current))
+    {
+        return;
+    }
+    if (membership::members_of(node.membership, item.head.service).empty())
+    {
+        return refuse_unrouted(node, item, routing::route_kind::none, current);
+    }
     if (item.retries_made + item.redirections_made == 0)
     {
         retry::note_request(node.retries, item.head.service);
@@ -150,10 +159,6 @@
                       "the service refuses most requests of this rank",
                       current);
     }
-    if (await_members(node, item, current))
-    {
-        return;
-    }
     if (is_keyed(item))
     {
         return route_to_home(node, item, current);
