--- a/tools/measurement/fleet.py
+++ b/tools/measurement/fleet.py
@@ -15,6 +15,9 @@
 CTL_TIMEOUT_S = 30
 
 
+NOT_READY = "does not know the configuration yet"
+
+
 class FleetError(Exception):
     """The deployment can't be started or does not answer."""
 
@@ -120,11 +123,19 @@
         return done.returncode, done.stdout + done.stderr
 
     def load_ranks(self):
-        """Issues the operators' ranks and rules with the tool."""
-        code, output = self._run_ctl(
-            ["--file", str(self.deployment.ranks_path)])
-        if code != 0:
-            raise FleetError(f"ranks refused ({code}): {output}")
+        """Issues the operators' ranks and rules with the tool.
+
+        With the policies off, pings are answered before the node knows its
+        configuration; until then it refuses the first statement."""
+        end = time.monotonic() + READY_TIMEOUT_S
+        while True:
+            code, output = self._run_ctl(
+                ["--file", str(self.deployment.ranks_path)])
+            if code == 0:
+                return
+            if NOT_READY not in output or time.monotonic() > end:
+                raise FleetError(f"ranks refused ({code}): {output}")
+            time.sleep(0.2)
 
     def fault(self, upstream, **faults):
         """Switches faults of an upstream's stand-in."""
