Rename what shadows, and say what a probe is

Cause: the build printed 20 warnings of shadowed names and missing initialisers; the comment on hop_context.is_probe told of another use. Change: names and defaults only.

--- a/src/admission/tests/overload_test.cpp
+++ b/src/admission/tests/overload_test.cpp
@@ -61,11 +61,11 @@
 class loaded_upstream
 {
 public:
-    explicit loaded_upstream(load_plan const& plan) : plan(plan), random(11)
+    explicit loaded_upstream(load_plan const& wanted) : plan(wanted), random(11)
     {
-        this->upstream.own.order = plan.order;
-        this->upstream.own.queued_per_slot = plan.queued_per_slot;
-        open(this->upstream, plan.slots, 0s, this->now);
+        this->upstream.own.order = wanted.order;
+        this->upstream.own.queued_per_slot = wanted.queued_per_slot;
+        open(this->upstream, wanted.slots, 0s, this->now);
     }
 
     load_result run()
--- a/src/drivers/internal/counters.hpp
+++ b/src/drivers/internal/counters.hpp
@@ -16,10 +16,10 @@
 struct figure_name
 {
     std::string_view name;
-    std::string_view label;
-    std::string_view value;
-    std::string_view second_label;
-    std::string_view second_value;
+    std::string_view label = {};
+    std::string_view value = {};
+    std::string_view second_label = {};
+    std::string_view second_value = {};
 
     auto operator<=>(figure_name const&) const = default;
 };
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -292,10 +292,10 @@
                       static_cast<double>(this->exchanges.size()));
     this->figures.set({"attempts_running"},
                       static_cast<double>(this->attempted.running_count()));
-    for (auto const& figures :
+    for (auto const& part :
          {this->figures.collect(), collect_process_figures()})
     {
-        all.insert(all.end(), figures.begin(), figures.end());
+        all.insert(all.end(), part.begin(), part.end());
     }
     return all;
 }
--- a/src/drivers/internal/pending_replies.hpp
+++ b/src/drivers/internal/pending_replies.hpp
@@ -51,15 +51,15 @@
         {
             co_return std::nullopt;
         }
-        auto& entry = found->second;
-        if (!entry.reply)
+        auto& awaited = found->second;
+        if (!awaited.reply)
         {
             error_code ignored;
-            entry.signal.expires_after(time_left);
-            co_await entry.signal.async_wait(
+            awaited.signal.expires_after(time_left);
+            co_await awaited.signal.async_wait(
                 asio::redirect_error(asio::use_awaitable, ignored));
         }
-        auto reply = std::move(entry.reply);
+        auto reply = std::move(awaited.reply);
         this->entries.erase(id);
         co_return reply;
     }
--- a/src/messages/request_types.hpp
+++ b/src/messages/request_types.hpp
@@ -56,7 +56,8 @@
     bool to_key_home = false;
     // True if a home that has recorded the key delegates only the execution.
     bool is_delegated = false;
-    // True if the sender has seen the caller repeat this key.
+    // True if the sender would have shed the request by the level that it
+    // knows, and sends it to find out whether that still holds.
     bool is_probe = false;
     hybrid_time sent_at;
 
--- a/src/node/tests/replay.cpp
+++ b/src/node/tests/replay.cpp
@@ -72,22 +72,22 @@
                      std::vector<codec::recorded_event> const& events)
 {
     state node = make_state(own);
-    replay_counts counts;
+    replay_counts seen;
     for (codec::recorded_event const& recorded : events)
     {
         for (effect const& asked : reduce(node, recorded.happened, recorded.at))
         {
-            count_effect(counts, asked);
+            count_effect(seen, asked);
         }
     }
     for (auto const& [key, value] : node.counted.total)
     {
         std::string const kind(to_string(key.kind));
-        counts[kind + " of " + key.rank] += value;
-        counts[kind + " in all"] += value;
+        seen[kind + " of " + key.rank] += value;
+        seen[kind + " in all"] += value;
     }
-    counts["open at the end"] = count_open(node);
-    return counts;
+    seen["open at the end"] = count_open(node);
+    return seen;
 }
 
 stated_trace read_trace(std::string const& name)
--- a/src/node/tests/virtual_fleet.cpp
+++ b/src/node/tests/virtual_fleet.cpp
@@ -23,10 +23,10 @@
            std::tie(this->when, this->order);
 }
 
-virtual_fleet::virtual_fleet(fleet_settings const& settings)
-    : settings(settings), random(settings.seed)
+virtual_fleet::virtual_fleet(fleet_settings const& wanted)
+    : settings(wanted), random(wanted.seed)
 {
-    configuration::document document = settings.document;
+    configuration::document document = wanted.document;
     document.revision = 1;
     this->store.put(std::string(configuration::document_key),
                     codec::encode_document(document));
@@ -151,9 +151,9 @@
     for (member const& each : this->members)
     {
         auto const found = each.upstream.executions.find(trace_id);
-        bool const counts = each.upstream.plan.service == service &&
-                            found != each.upstream.executions.end();
-        sum += counts ? found->second : 0;
+        bool const has_run = each.upstream.plan.service == service &&
+                             found != each.upstream.executions.end();
+        sum += has_run ? found->second : 0;
     }
     return sum;
 }
--- a/src/node/tests/virtual_fleet.hpp
+++ b/src/node/tests/virtual_fleet.hpp
@@ -47,7 +47,7 @@
 class virtual_fleet
 {
 public:
-    explicit virtual_fleet(fleet_settings const& settings);
+    explicit virtual_fleet(fleet_settings const& wanted);
 
     // Adds a node with its upstream; returns its index.
     std::size_t add(upstream_plan const& plan, std::string const& zone = "z1");
--- a/tools/measurement/fleet.py
+++ b/tools/measurement/fleet.py
@@ -13,8 +13,6 @@
 READY_TIMEOUT_S = 30
 POLL_S = 0.1
 CTL_TIMEOUT_S = 30
-
-
 NOT_READY = "does not know the configuration yet"
 
 
