Read a clock that goes on while the machine is suspended

Cause: the steady clock stands still during a suspension, so a vouch could outlast its lifetime by the length of it, and a suspended home would go on accepting keys. Change: the reducer's monotonic time is CLOCK_BOOTTIME; the timer waits for a span and compares on waking, as before. A suspension itself was not brought about.

--- a/src/drivers/internal/wake_timer.cpp
+++ b/src/drivers/internal/wake_timer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <ctime>
 #include <utility>
 
 namespace plantaintally::drivers
@@ -14,13 +15,23 @@
 // farthest instant from overflowing the steady clock's nanoseconds.
 constexpr duration longest_wait = std::chrono::hours(1);
 
+// Goes on while the machine is suspended, unlike the steady clock: a vouch or a
+// lease must not outlast a suspension. The call can't fail on Linux.
+duration read_boot_time()
+{
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    auto const whole = std::chrono::seconds(time.tv_sec) +
+                       std::chrono::nanoseconds(time.tv_nsec);
+    return std::chrono::duration_cast<duration>(whole);
+}
+
 } // namespace
 
 moment read_moment()
 {
-    auto const steady = std::chrono::steady_clock::now().time_since_epoch();
     auto const wall = std::chrono::system_clock::now().time_since_epoch();
-    return {instant(std::chrono::duration_cast<duration>(steady)),
+    return {instant(read_boot_time()),
             wall_time(std::chrono::duration_cast<duration>(wall))};
 }
 
@@ -32,11 +43,9 @@
 void wake_timer::set(instant when)
 {
     auto const number = ++this->wait_number;
-    auto const latest = read_moment().monotonic + longest_wait;
-    auto const ends = std::min(when, latest);
-    // The steady clock shares the origin of instants.
-    this->timer.expires_at(
-        std::chrono::steady_clock::time_point(ends.time_since_epoch()));
+    auto const now = read_moment().monotonic;
+    auto const wait = when > now + longest_wait ? longest_wait : when - now;
+    this->timer.expires_after(std::max(wait, duration::zero()));
     this->timer.async_wait(
         [this, kept = this->tasks.hold(), number, when](error_code problem)
         {
