Make the test of refusals from below able to fail, and restore a trace's bound

(2) The bound "answered of confirmation" of the trace flood-least-urgent had been lowered from 20 to 10 after a failure. Change: the upstream passes the refusal on as 503 not-run; the bound is 20 again, which is every confirmation that arrives in the trace. Conclusion: both stand as strict as they were meant.

--- a/src/node/tests/replay_test.cpp
+++ b/src/node/tests/replay_test.cpp
@@ -139,7 +139,7 @@
         run.fleet.run_for(3s);
         run.save("flood-least-urgent",
                  2,
-                 {{"answered of confirmation", 10}},
+                 {{"answered of confirmation", 20}},
                  {{"refused of confirmation", 0}, {"open at the end", 0}});
     }
     {
--- a/src/node/tests/truthful_refusal_test.cpp
+++ b/src/node/tests/truthful_refusal_test.cpp
@@ -89,9 +89,10 @@
 TEST_CASE("a refusal that comes from below doesn't lower the limit")
 {
     virtual_fleet fleet(default_settings());
-    fleet.add(plan_of("a", {"gone"}));
+    upstream_plan passing_on = plan_of("a", {"gone"});
+    passing_on.refused_late = 1.0;
+    fleet.add(passing_on);
     fleet.form();
-    fleet.upstream(0).plan.slots = 20;
     std::uint32_t const before =
         admission::allowed(fleet.node(0).admission.limit, fleet.now());
     for (int i = 0; i < 200; ++i)
