--- a/apps/plantaintallyd/main.cpp
+++ b/apps/plantaintallyd/main.cpp
@@ -4,6 +4,7 @@
 #include "drivers/runtime.hpp"
 #include "logging/logging.hpp"
 #include "node/node.hpp"
+#include "platform/dialect.hpp"
 #include "settings/settings.hpp"
 
 #include <gflags/gflags.h>
@@ -16,7 +17,9 @@
 #include <string>
 #include <utility>
 
-DEFINE_string(settings, "", "settings file (INI); see docs/SETTINGS.md");
+DEFINE_string(settings,
+              gflags::StringFromEnv("PLANTAINTALLY_CONFIG", ""),
+              "settings file (INI); see docs/SETTINGS.md");
 DEFINE_bool(check_settings, false, "check the settings file and end");
 
 namespace
@@ -61,6 +64,16 @@
         own.seed = stable_hash(own.self.address, own.self.incarnation);
     }
     own.stop_limit = chosen.node.stop_limit;
+    own.stop_linger = chosen.node.stop_linger;
+    own.takes_keys = chosen.node.takes_keys;
+    own.has_routes = chosen.routes.source == settings::route_source::store;
+    own.upstream_silence = chosen.edge.upstream_silence;
+    if (chosen.retry.budget_extra > 0)
+    {
+        // Half of what is allowed: repeats deep in a chain cause others.
+        own.fleet_repeats = chosen.retry.budget_extra / 2;
+        own.retries = {chosen.retry.budget_ratio / 2, 1, 1};
+    }
     own.is_policy_enabled = chosen.measure.is_policy_enabled;
     return own;
 }
@@ -73,6 +86,8 @@
                       : logging::format::plain;
     wanted.least = static_cast<logging::level>(chosen.log.level);
     wanted.file = chosen.log.file;
+    wanted.is_to_stdout =
+        chosen.log.stream == settings::log_stream::standard_output;
     wanted.node = settings::to_string(chosen.node.peer_address);
     return logging::start(wanted);
 }
@@ -95,6 +110,13 @@
     }
 }
 
+drivers::dialect make_dialect(settings::node_settings const& chosen)
+{
+    return chosen.edge.dialect == settings::dialect_name::platform
+               ? platform::make_dialect()
+               : drivers::native_dialect();
+}
+
 int run_node(settings::node_settings const& chosen)
 {
     raise_descriptor_limit();
@@ -115,7 +137,9 @@
                              [&]
                              {
                                  return state.clock.last;
-                             }});
+                             }},
+                            make_dialect(chosen));
+    driven.on_reload([] { return settings::load_settings(FLAGS_settings); });
     auto const opened = driven.open();
     if (!opened)
     {
--- a/src/base/ids.hpp
+++ b/src/base/ids.hpp
@@ -32,6 +32,9 @@
 // One operator command being answered by this node.
 using command_id = numeric_id<struct command_tag>;
 
+// One report of the upstream that waits for its answer.
+using report_id = numeric_id<struct report_tag>;
+
 // A node of the fleet: the host:port of its peer listener, and the incarnation
 // of the process there. A restarted process has a higher incarnation and is a
 // different member.
--- a/src/base/verdict.cpp
+++ b/src/base/verdict.cpp
@@ -66,6 +66,8 @@
         return "too-large";
     case refusal::caller_gone:
         return "caller-gone";
+    case refusal::no_route:
+        return "no-route";
     }
     return "overload";
 }
--- a/src/base/verdict.hpp
+++ b/src/base/verdict.hpp
@@ -46,7 +46,8 @@
     incomplete_answer,
     bad_request,
     too_large,
-    caller_gone
+    caller_gone,
+    no_route
 };
 
 // The name used in problem bodies, logs and metrics, in kebab case.
--- a/src/codec/internal/control_json.hpp
+++ b/src/codec/internal/control_json.hpp
@@ -5,6 +5,7 @@
 #include "codec/internal/membership_json.hpp"
 #include "codec/internal/once_json.hpp"
 #include "codec/internal/query_json.hpp"
+#include "codec/internal/routes_json.hpp"
 #include "messages/control_message.hpp"
 
 namespace plantaintally::codec
--- a/src/codec/internal/event_json.hpp
+++ b/src/codec/internal/event_json.hpp
@@ -17,12 +17,15 @@
                    attempt,
                    status,
                    report,
-                   is_upstream_refusal)
+                   is_upstream_refusal,
+                   is_misdirected)
 PLANTAINTALLY_JSON(
     attempt_failed, "attempt_failed", attempt, failure, is_written)
 PLANTAINTALLY_JSON(upstream_announced, "upstream_announced", announcement)
 PLANTAINTALLY_JSON_EMPTY(upstream_drain_requested, "upstream_drain_requested")
 PLANTAINTALLY_JSON_EMPTY(upstream_gone, "upstream_gone")
+PLANTAINTALLY_JSON(
+    upstream_reported, "upstream_reported", report, life, phase, announcement)
 PLANTAINTALLY_JSON(health_hint, "health_hint", is_healthy, load_permille)
 PLANTAINTALLY_JSON(control_received, "control_received", envelope)
 PLANTAINTALLY_JSON(store_replied, "store_replied", call, client, result)
@@ -44,6 +47,8 @@
                    exchange,
                    upstream_address,
                    trace_id,
+                   caller,
+                   instance,
                    time_left,
                    timeout)
 PLANTAINTALLY_JSON(cancel_attempt, "cancel_attempt", attempt)
@@ -54,6 +59,9 @@
 PLANTAINTALLY_JSON(release_attempt, "release_attempt", attempt)
 PLANTAINTALLY_JSON(send_control, "send_control", address, message)
 PLANTAINTALLY_JSON(call_store, "call_store", call, client, request, timeout)
+PLANTAINTALLY_JSON(tell_readiness, "tell_readiness", is_ready)
+PLANTAINTALLY_JSON(limit_callers, "limit_callers", limits)
+PLANTAINTALLY_JSON(answer_report, "answer_report", report, is_accepted)
 PLANTAINTALLY_JSON(
     answer_operator, "answer_operator", command, status, message, table)
 PLANTAINTALLY_JSON(wake_at, "wake_at", when)
--- a/src/codec/internal/membership_json.hpp
+++ b/src/codec/internal/membership_json.hpp
@@ -53,6 +53,7 @@
                    news,
                    view_hash,
                    configuration_revision,
+                   routes_version,
                    ends_watch)
 PLANTAINTALLY_JSON(membership::gossip, "gossip", news, is_repair)
 PLANTAINTALLY_JSON(membership::view_digest,
--- a/src/codec/internal/request_json.hpp
+++ b/src/codec/internal/request_json.hpp
@@ -26,7 +26,8 @@
                    "incomplete-answer",
                    "bad-request",
                    "too-large",
-                   "caller-gone")
+                   "caller-gone",
+                   "no-route")
 PLANTAINTALLY_ENUM(request_source, "caller", "peer", "local")
 PLANTAINTALLY_ENUM(attempt_failure,
                    "connect-refused",
@@ -40,6 +41,7 @@
 PLANTAINTALLY_JSON(request_head,
                    "request_head",
                    trace_id,
+                   host,
                    service,
                    method,
                    target,
@@ -47,8 +49,13 @@
                    caller,
                    time_left,
                    body_bytes)
+PLANTAINTALLY_ENUM(upstream_phase, "ready", "draining", "gone")
+PLANTAINTALLY_JSON(upstream_life, "upstream_life", instance, born_ms, sequence)
+PLANTAINTALLY_JSON(
+    route_terms, "route_terms", is_repeatable, max_attempts, aim_left)
 PLANTAINTALLY_JSON(hop_context,
                    "hop_context",
+                   service,
                    rank,
                    urgency,
                    retries_left,
@@ -56,15 +63,18 @@
                    to_key_home,
                    is_delegated,
                    is_probe,
+                   route,
                    sent_at)
 PLANTAINTALLY_JSON(hop_report,
                    "hop_report",
                    outcome,
                    reason,
+                   has_reached_upstream,
                    attempts,
                    retries_left,
                    admission_level,
                    load_permille,
+                   failure_permille,
                    is_draining,
                    key_home,
                    retry_after,
@@ -75,7 +85,8 @@
                    address,
                    slots,
                    connections,
-                   cold_start)
+                   cold_start,
+                   instance)
 PLANTAINTALLY_JSON(answer_table, "answer_table", columns, rows)
 
 } // namespace plantaintally::codec
--- a/src/codec/tests/trace_codec_test.cpp
+++ b/src/codec/tests/trace_codec_test.cpp
@@ -14,6 +14,7 @@
 request_head sample_head()
 {
     return {"trace-1",
+            "bookings.example",
             "bookings",
             "POST",
             "/slots/7",
@@ -31,6 +32,8 @@
     hop_context hop;
     hop.rank = "booking";
     hop.is_probe = true;
+    hop.service = "bookings";
+    hop.route = route_terms{true, 2, duration(7)};
     once::message const asked = once::epoch_question{"bookings/0", 3};
     return {request_arrived{{4}, request_source::peer, sample_head(), hop},
             request_arrived{{5}, request_source::caller, {}, std::nullopt},
@@ -40,6 +43,7 @@
             upstream_announced{{"maps", "127.0.0.1:8080", 75, 550, {}}},
             upstream_drain_requested{},
             upstream_gone{},
+            upstream_reported{{3}, {"i-1", 7, 2}, upstream_phase::draining, {}},
             health_hint{false, 900},
             control_received{{{"a:1", 2}, {3, 4}, asked}},
             store_replied{{8}, store_client::once, store_entry{"k", "v", 9}},
--- a/src/configuration/configuration.hpp
+++ b/src/configuration/configuration.hpp
@@ -23,6 +23,9 @@
 // The number of accepted changes that the document remembers.
 inline constexpr std::size_t max_change_records = 512;
 
+// The rank of requests that no match rule names.
+inline constexpr std::string_view default_rank_name = "default";
+
 // The document that holds before an operator has made any change: one rank,
 // "default", that every request belongs to.
 document default_document();
--- a/src/configuration/internal/document.cpp
+++ b/src/configuration/internal/document.cpp
@@ -9,8 +9,6 @@
 namespace
 {
 
-constexpr std::string_view default_rank_name = "default";
-
 bool matches(match_rule const& rule,
              std::string_view service,
              std::string_view method,
--- a/src/drivers/internal/http.hpp
+++ b/src/drivers/http.hpp
@@ -38,6 +38,9 @@
     std::string target;
     std::vector<header_field> headers;
     std::shared_ptr<std::string const> body;
+    // A header that the answer must bear with this value, in order to be told
+    // from late answers to earlier requests; without a name: none.
+    header_field expected_id = {};
 };
 
 // A whole answer as it was read.
--- a/src/drivers/internal/answer_headers.cpp
+++ b/src/drivers/internal/answer_headers.cpp
@@ -1,18 +1,27 @@
 #include "drivers/internal/answer_headers.hpp"
 
+#include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <utility>
 
 namespace plantaintally::drivers
 {
 
+std::string whole_milliseconds(duration time)
+{
+    auto const count =
+        std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+    return std::to_string(std::max<std::int64_t>(count, 0));
+}
+
 std::vector<header_field> common_headers(answer_recipient const& recipient,
                                          hop_report const& report)
 {
     std::vector<header_field> headers{
         {"X-Request-Id", recipient.trace_id},
-        {"Plantaintally-Verdict", std::string(to_string(report.outcome))},
-        {"Plantaintally-Attempts", std::to_string(report.attempts)}};
+        {std::string(verdict_header), std::string(to_string(report.outcome))},
+        {std::string(attempts_header), std::to_string(report.attempts)}};
     if (recipient.source == request_source::peer)
     {
         auto fields = codec::encode_hop_report(report);
--- a/src/drivers/internal/answer_headers.hpp
+++ b/src/drivers/internal/answer_headers.hpp
@@ -1,8 +1,7 @@
 // The answers that sessions write.
 #pragma once
 
-#include "drivers/internal/exchange_table.hpp"
-#include "drivers/internal/http.hpp"
+#include "drivers/dialect.hpp"
 #include "drivers/internal/problem.hpp"
 
 #include <string>
@@ -11,12 +10,11 @@
 namespace plantaintally::drivers
 {
 
-// Who reads the answer, and for which request.
-struct answer_recipient
-{
-    request_source source = request_source::caller;
-    std::string trace_id;
-};
+inline constexpr std::string_view verdict_header = "Plantaintally-Verdict";
+inline constexpr std::string_view attempts_header = "Plantaintally-Attempts";
+
+// A span of time as a header's value: milliseconds, rounded down.
+std::string whole_milliseconds(duration time);
 
 // The headers that stand on every answer: trace id, verdict, attempts; for a
 // peer the whole report too.
--- a/src/drivers/internal/arrival.cpp
+++ b/src/drivers/internal/arrival.cpp
@@ -19,34 +19,12 @@
 constexpr std::size_t max_service_bytes = 255;
 constexpr std::uint64_t max_deadline_ms = 86'400'000;
 
-bool equals_name(std::string_view left, std::string_view right)
-{
-    return left.size() == right.size() && codec::has_prefix(left, right);
-}
-
-// Headers that belong to one connection (RFC 9110, section 7.6.1), that are
-// made anew at every hop, or that nodes give a meaning of their own.
+// Headers that nodes give a meaning of their own.
 bool is_own_header(std::string_view name)
 {
-    constexpr std::array<std::string_view, 14> own{"Host",
-                                                   "Connection",
-                                                   "Proxy-Connection",
-                                                   "Proxy-Authenticate",
-                                                   "Proxy-Authorization",
-                                                   "Keep-Alive",
-                                                   "TE",
-                                                   "Trailer",
-                                                   "Transfer-Encoding",
-                                                   "Upgrade",
-                                                   "Content-Length",
-                                                   "Expect",
-                                                   "X-Request-Id",
-                                                   "Idempotency-Key"};
-    bool const is_listed =
-        std::any_of(own.begin(),
-                    own.end(),
-                    [&](auto listed) { return equals_name(name, listed); });
-    return is_listed || codec::has_prefix(name, node_prefix);
+    return equals_name(name, "Host") || equals_name(name, "X-Request-Id") ||
+           equals_name(name, "Idempotency-Key") ||
+           codec::has_prefix(name, node_prefix);
 }
 
 // True if the Connection header names this header as one of the connection.
@@ -77,11 +55,11 @@
 std::vector<header_field>
 passed_headers(std::vector<header_field> const& headers)
 {
-    auto const connection = find_header(headers, "Connection");
     std::vector<header_field> passed;
     for (auto const& header : headers)
     {
-        if (!is_own_header(header.name) && !is_named(connection, header.name))
+        if (!is_own_header(header.name) &&
+            !is_connection_header(headers, header.name))
         {
             passed.push_back(header);
         }
@@ -158,23 +136,6 @@
     return {};
 }
 
-// The service that a Host header names: without port, in lower case.
-std::string service_of(std::string_view host)
-{
-    auto const colon = host.rfind(':');
-    std::string service(host.substr(0, colon));
-    std::transform(service.begin(),
-                   service.end(),
-                   service.begin(),
-                   [](char letter)
-                   {
-                       bool const is_upper = letter >= 'A' && letter <= 'Z';
-                       return is_upper ? static_cast<char>(letter + ('a' - 'A'))
-                                       : letter;
-                   });
-    return service;
-}
-
 result<std::optional<duration>>
 parse_time_left(std::vector<header_field> const& headers)
 {
@@ -208,6 +169,11 @@
 
 } // namespace
 
+bool equals_name(std::string_view left, std::string_view right)
+{
+    return left.size() == right.size() && codec::has_prefix(left, right);
+}
+
 std::string_view find_header(std::vector<header_field> const& headers,
                              std::string_view name)
 {
@@ -221,6 +187,42 @@
     return {};
 }
 
+bool is_connection_header(std::vector<header_field> const& headers,
+                          std::string_view name)
+{
+    constexpr std::array<std::string_view, 11> listed{"Connection",
+                                                      "Proxy-Connection",
+                                                      "Proxy-Authenticate",
+                                                      "Proxy-Authorization",
+                                                      "Keep-Alive",
+                                                      "TE",
+                                                      "Trailer",
+                                                      "Transfer-Encoding",
+                                                      "Upgrade",
+                                                      "Content-Length",
+                                                      "Expect"};
+    return std::any_of(listed.begin(),
+                       listed.end(),
+                       [&](auto each) { return equals_name(name, each); }) ||
+           is_named(find_header(headers, "Connection"), name);
+}
+
+std::string host_of(std::string_view authority)
+{
+    auto const colon = authority.rfind(':');
+    std::string host(authority.substr(0, colon));
+    std::transform(host.begin(),
+                   host.end(),
+                   host.begin(),
+                   [](char letter)
+                   {
+                       bool const is_upper = letter >= 'A' && letter <= 'Z';
+                       return is_upper ? static_cast<char>(letter + ('a' - 'A'))
+                                       : letter;
+                   });
+    return host;
+}
+
 result<arrival> parse_arrival(incoming_request const& request,
                               arrival_origin const& origin)
 {
@@ -243,9 +245,11 @@
         return time_left.error();
     }
     arrival parsed;
+    std::string const host = host_of(find_header(headers, "Host"));
     parsed.head = {trace_id.empty() ? origin.fresh_trace_id
                                     : std::string(trace_id),
-                   service_of(find_header(headers, "Host")),
+                   host,
+                   host,
                    request.method,
                    request.target,
                    std::string(find_header(headers, "Idempotency-Key")),
--- a/src/drivers/internal/attempts.cpp
+++ b/src/drivers/internal/attempts.cpp
@@ -1,6 +1,7 @@
 #include "drivers/internal/attempts.hpp"
 
 #include "codec/hop_headers.hpp"
+#include "drivers/internal/answer_headers.hpp"
 #include "logging/logging.hpp"
 
 #include <algorithm>
@@ -15,20 +16,12 @@
 namespace
 {
 
-constexpr std::uint32_t service_unavailable = 503;
-
-std::string to_milliseconds(duration time)
-{
-    auto const count =
-        std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-    return std::to_string(std::max<std::int64_t>(count, 0));
-}
-
 outgoing_request make_request(request_head const& head, exchange const& from)
 {
     outgoing_request request{head.method, head.target, {}, from.body};
     request.headers.reserve(from.passed_headers.size() + 16);
-    request.headers.push_back({"Host", head.service});
+    request.headers.push_back(
+        {"Host", head.host.empty() ? head.service : head.host});
     request.headers.push_back({"X-Request-Id", head.trace_id});
     if (!head.idempotency_key.empty())
     {
@@ -40,19 +33,6 @@
     return request;
 }
 
-void add_time_left(outgoing_request& request, duration time_left)
-{
-    request.headers.push_back(
-        {"Plantaintally-Deadline-Ms", to_milliseconds(time_left)});
-}
-
-bool is_refusal_of_upstream(answer const& whole)
-{
-    return whole.status == service_unavailable &&
-           find_header(whole.headers, "Plantaintally-Verdict") ==
-               to_string(verdict::not_run);
-}
-
 std::uint64_t size_of(answer const& whole)
 {
     std::uint64_t bytes = whole.body.size();
@@ -63,6 +43,27 @@
     return bytes;
 }
 
+// The headers of a peer's answer without what nodes tell one another.
+std::vector<header_field>
+without_report(std::vector<header_field> const& headers)
+{
+    std::vector<header_field> passed;
+    for (auto const& header : headers)
+    {
+        bool const is_own =
+            codec::has_prefix(header.name, codec::report_prefix) ||
+            equals_name(header.name, "X-Request-Id") ||
+            equals_name(header.name, verdict_header) ||
+            equals_name(header.name, attempts_header) ||
+            is_connection_header(headers, header.name);
+        if (!is_own)
+        {
+            passed.push_back(header);
+        }
+    }
+    return passed;
+}
+
 bool has_report(answer const& whole)
 {
     return std::any_of(
@@ -87,7 +88,8 @@
     auto request = make_request(wanted.head, *from);
     if (wanted.head.time_left)
     {
-        add_time_left(request, *wanted.head.time_left);
+        request.headers.push_back({"Plantaintally-Deadline-Ms",
+                                   whole_milliseconds(*wanted.head.time_left)});
     }
     request.headers.push_back({"Plantaintally-Caller", wanted.head.caller});
     auto hop = codec::encode_hop_context(wanted.hop);
@@ -110,10 +112,19 @@
         this->fail(wanted.attempt, {attempt_failure::cancelled, false});
         return;
     }
-    auto head = from->head;
-    head.trace_id = wanted.trace_id;
-    auto request = make_request(head, *from);
-    add_time_left(request, wanted.time_left);
+    outgoing_request request{
+        from->head.method,
+        from->head.target,
+        this->chosen.spoken.dispatch_headers(wanted, from->head),
+        from->body};
+    request.headers.insert(request.headers.end(),
+                           from->passed_headers.begin(),
+                           from->passed_headers.end());
+    if (!this->chosen.spoken.answer_id_header.empty())
+    {
+        request.expected_id = {this->chosen.spoken.answer_id_header,
+                               wanted.trace_id};
+    }
     this->running.try_emplace(wanted.attempt);
     this->chosen.tasks.spawn(this->run(wanted.attempt,
                                        this->chosen.upstream,
@@ -187,7 +198,9 @@
 
 void attempts::finish(attempt_id id, bool is_peer, answer whole)
 {
-    attempt_answered answered{id, whole.status, std::nullopt, false};
+    attempt_answered answered;
+    answered.attempt = id;
+    answered.status = whole.status;
     if (is_peer)
     {
         auto report = codec::decode_hop_report(whole.headers);
@@ -201,9 +214,11 @@
     }
     else
     {
-        answered.is_upstream_refusal = is_refusal_of_upstream(whole);
+        auto const kind = this->chosen.spoken.read_answer_kind(whole);
+        answered.is_upstream_refusal = kind == answer_kind::refused;
+        answered.is_misdirected = kind == answer_kind::misdirected;
     }
-    if (!this->retain(id, std::move(whole)))
+    if (!this->retain(id, is_peer, std::move(whole)))
     {
         this->chosen.figures.add({"answers_not_retained_total"});
         this->fail(id, {attempt_failure::incomplete_answer, true});
@@ -218,7 +233,7 @@
         attempt_failed{id, failure.failure, failure.is_written});
 }
 
-bool attempts::retain(attempt_id id, answer whole)
+bool attempts::retain(attempt_id id, bool is_peer, answer whole)
 {
     auto const bytes = size_of(whole);
     if (this->retained_bytes + bytes > this->chosen.max_retained_bytes)
@@ -226,7 +241,9 @@
         return false;
     }
     this->retained_bytes += bytes;
-    whole.headers = passed_answer_headers(whole.headers);
+    whole.headers =
+        is_peer ? without_report(whole.headers)
+                : this->chosen.spoken.passed_answer_headers(whole.headers);
     auto const kept = std::make_shared<answer const>(std::move(whole));
     // Counted as it is kept, so that release() gives back the same.
     this->retained_bytes -= bytes - size_of(*kept);
--- a/src/drivers/internal/attempts.hpp
+++ b/src/drivers/internal/attempts.hpp
@@ -2,6 +2,7 @@
 // to the upstream, and keeps the answers until nobody needs them.
 #pragma once
 
+#include "drivers/dialect.hpp"
 #include "drivers/internal/exchange_table.hpp"
 #include "drivers/internal/http_client.hpp"
 #include "messages/effects.hpp"
@@ -25,6 +26,7 @@
         exchange_table& exchanges;
         http_client& peers;
         http_client& upstream;
+        dialect const& spoken;
         std::function<void(event)> hand_in;
         std::uint64_t max_retained_bytes = 0;
     };
@@ -52,7 +54,7 @@
                               duration timeout);
     void finish(attempt_id id, bool is_peer, answer whole);
     void fail(attempt_id id, call_failure failure);
-    bool retain(attempt_id id, answer whole);
+    bool retain(attempt_id id, bool is_peer, answer whole);
     void note_retained();
 };
 
--- a/src/drivers/internal/carry_out.cpp
+++ b/src/drivers/internal/carry_out.cpp
@@ -66,6 +66,21 @@
     this->platform.call(wanted);
 }
 
+void engine::carry_out(answer_report const& wanted)
+{
+    this->edge.answer_report(wanted);
+}
+
+void engine::carry_out(tell_readiness const& wanted)
+{
+    this->edge.set_ready(wanted.is_ready);
+}
+
+void engine::carry_out(limit_callers const& wanted)
+{
+    this->caller_sessions.limits = this->caller_limits(wanted.limits);
+}
+
 void engine::carry_out(answer_operator const& wanted)
 {
     this->local.answer_command(wanted);
@@ -78,7 +93,8 @@
 
 void engine::carry_out(drain_upstream const&)
 {
-    if (auto const& announced = this->local.announcement())
+    auto const& announced = this->local.announcement();
+    if (announced && this->spoken.speaks_to_upstream)
     {
         this->probe.drain(announced->address);
     }
--- a/src/drivers/internal/connection_pool.cpp
+++ b/src/drivers/internal/connection_pool.cpp
@@ -1,5 +1,6 @@
 #include "drivers/internal/connection_pool.hpp"
 
+#include "drivers/internal/silence.hpp"
 #include "settings/settings.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -110,7 +111,8 @@
     {
         auto& among = entry->second;
         this->drop_unusable(among);
-        bool const is_unused = among.open == 0 && among.warm_count == 0;
+        bool const is_unused = among.open == 0 && among.warm_count == 0 &&
+                               among.limit == this->chosen.limit;
         entry = is_unused ? this->hosts.erase(entry) : std::next(entry);
     }
     for (auto const& [address, wanted] : this->hosts)
@@ -199,6 +201,7 @@
                           : connect_failure::refused;
     }
     connection.socket.set_option(tcp::no_delay(true), problem);
+    notice_silence(connection.socket);
     this->figures.add(this->figure("connections_opened_total"));
     co_return id;
 }
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.hpp"
 #include "drivers/internal/event_kind.hpp"
 #include "logging/logging.hpp"
+#include "metrics/metrics.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +11,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace plantaintally::drivers
@@ -45,9 +47,10 @@
 engine::engine(asio::any_io_executor const& executor,
                settings::node_settings const& wanted,
                node_id own,
-               decisions decided)
+               decisions decided,
+               dialect spoken_outside)
     : chosen(wanted), self(std::move(own)), decide(std::move(decided)),
-      tasks(executor), exchanges(executor),
+      spoken(std::move(spoken_outside)), tasks(executor), exchanges(executor),
       peer_pool(
           this->tasks,
           this->figures,
@@ -58,19 +61,22 @@
           this->tasks,
           this->figures,
           this->pool_options("platform", wanted.platform.max_connections)),
-      peer_client(this->peer_pool, this->client_limits()),
-      upstream_client(this->upstream_pool, this->client_limits()),
-      store_http(this->platform_pool, this->client_limits()),
+      peer_client(this->peer_pool, this->client_limits(false)),
+      upstream_client(this->upstream_pool,
+                      this->client_limits(this->spoken.takes_unframed_answers)),
+      store_http(this->platform_pool, this->client_limits(false)),
       attempted({this->tasks,
                  this->figures,
                  this->exchanges,
                  this->peer_client,
                  this->upstream_client,
+                 this->spoken,
                  this->event_sink(),
                  wanted.limits.max_retained_bytes}),
       platform({this->tasks,
                 this->figures,
                 this->store_http,
+                this->spoken,
                 this->event_sink(),
                 settings::to_string(wanted.platform.address),
                 wanted.platform.timeout}),
@@ -85,10 +91,19 @@
              this->event_sink(),
              [this] { return this->collect(); },
              wanted.limits.command_timeout}),
+      edge({this->tasks,
+            this->figures,
+            this->spoken,
+            this->event_sink(),
+            [this]
+            {
+                return metrics::write_metrics(this->collect());
+            }}),
       timer(this->tasks, [this] { this->hand_in(timer_fired{}); }),
       caller_sessions(this->make_sessions(request_source::caller, "caller")),
       peer_sessions(this->make_sessions(request_source::peer, "peer")),
       local_sessions(this->make_sessions(request_source::local, "local")),
+      edge_sessions(this->make_sessions(request_source::local, "edge")),
       caller_listener(this->make_listener("caller",
                                           wanted.node.caller_address,
                                           wanted.limits.max_caller_connections,
@@ -107,14 +122,21 @@
     {
         return this->local.answer(request);
     };
+    this->edge_sessions.answer_locally = [this](incoming_request const& request)
+        -> asio::awaitable<std::optional<local_answer>>
+    {
+        co_return co_await this->edge.answer(request);
+    };
+    this->open_edge("report", wanted.edge.report_address);
+    this->open_edge("ready", wanted.edge.ready_address);
+    this->open_edge("metrics", wanted.edge.metrics_address);
 }
 
 result<void> engine::open()
 {
     this->tasks.keep(this->weak_from_this());
     auto opened = this->recorder.open(this->chosen.trace.file);
-    for (auto* const each :
-         {&this->caller_listener, &this->peer_listener, &this->local_listener})
+    for (auto* const each : this->all_listeners())
     {
         if (opened)
         {
@@ -126,9 +148,10 @@
 
 void engine::start()
 {
-    this->caller_listener.start();
-    this->peer_listener.start();
-    this->local_listener.start();
+    for (auto* const each : this->all_listeners())
+    {
+        each->start();
+    }
     this->tasks.spawn(this->keep_house());
     this->hand_in(timer_fired{});
 }
@@ -160,9 +183,10 @@
     this->control.close();
     this->timer.cancel();
     this->recorder.flush();
-    this->caller_listener.close();
-    this->peer_listener.close();
-    this->local_listener.close();
+    for (auto* const each : this->all_listeners())
+    {
+        each->close();
+    }
 }
 
 void engine::hand_in(event happened)
@@ -229,10 +253,11 @@
             connect_timeout};
 }
 
-http_client::limits engine::client_limits() const
+http_client::limits engine::client_limits(bool takes_unframed_answers) const
 {
     return {this->chosen.limits.max_header_bytes,
-            this->chosen.limits.max_answer_bytes};
+            this->chosen.limits.max_answer_bytes,
+            takes_unframed_answers};
 }
 
 session_services engine::make_sessions(request_source source,
@@ -241,6 +266,8 @@
     auto const& limits = this->chosen.limits;
     return {this->figures,
             this->exchanges,
+            this->spoken,
+            this->between_nodes,
             this->event_sink(),
             {limits.max_header_bytes,
              limits.max_body_bytes,
@@ -256,6 +283,8 @@
                 auto const& announced = this->local.announcement();
                 return announced ? announced->service : std::string();
             },
+            source == request_source::caller ? this->chosen.edge.service
+                                             : std::string(),
             nullptr,
             false,
             {}};
@@ -277,6 +306,76 @@
             }};
 }
 
+void engine::open_edge(std::string_view name,
+                       std::optional<settings::endpoint> const& address)
+{
+    if (!address)
+    {
+        return;
+    }
+    auto& services = this->edge_sessions;
+    this->edge_listeners.emplace_back(
+        this->tasks,
+        this->figures,
+        listener::options{
+            name, *address, this->chosen.limits.max_local_connections},
+        [&services](tcp::socket accepted)
+        { return serve_session(std::move(accepted), services); },
+        [&services](tcp::socket accepted)
+        { return refuse_session(std::move(accepted), services); });
+}
+
+std::vector<listener*> engine::all_listeners()
+{
+    std::vector<listener*> all{
+        &this->caller_listener, &this->peer_listener, &this->local_listener};
+    for (listener& each : this->edge_listeners)
+    {
+        all.push_back(&each);
+    }
+    return all;
+}
+
+read_limits engine::caller_limits(routes::caller_limits const& wanted) const
+{
+    auto const& own = this->chosen.limits;
+    read_limits limits = {own.max_header_bytes,
+                          own.max_body_bytes,
+                          own.idle_timeout,
+                          own.header_timeout,
+                          own.body_timeout};
+    if (wanted.max_header_bytes > 0)
+    {
+        limits.max_header_bytes = wanted.max_header_bytes;
+    }
+    if (wanted.max_body_bytes > 0)
+    {
+        limits.max_body_bytes = static_cast<std::uint32_t>(
+            std::min<std::uint64_t>(wanted.max_body_bytes, own.max_body_bytes));
+    }
+    if (wanted.header_timeout > duration::zero())
+    {
+        limits.header_timeout = wanted.header_timeout;
+    }
+    if (wanted.idle_timeout > duration::zero())
+    {
+        limits.idle_timeout = wanted.idle_timeout;
+    }
+    return limits;
+}
+
+void engine::reload(settings::node_settings const& wanted)
+{
+    auto const changed = settings::changed_keys(this->chosen, wanted);
+    logging::set_level(static_cast<logging::level>(wanted.log.level));
+    this->chosen.log.level = wanted.log.level;
+    logging::write({logging::level::info,
+                    "drivers",
+                    "settings-reloaded",
+                    {{"changed", changed.empty() ? "nothing" : changed},
+                     {"in_force", "log.level"}}});
+}
+
 std::string engine::make_trace_id()
 {
     return fmt::format("{:016x}-{:x}-{:x}",
@@ -314,7 +413,8 @@
         this->peer_pool.sweep();
         this->upstream_pool.sweep();
         this->platform_pool.sweep();
-        if (auto const& announced = this->local.announcement())
+        auto const& announced = this->local.announcement();
+        if (announced && this->spoken.speaks_to_upstream)
         {
             this->probe.probe(announced->address);
         }
@@ -338,11 +438,15 @@
     this->ending_since = std::chrono::steady_clock::now();
     this->set_stopping();
     this->local_sessions.is_stopping = true;
-    this->caller_listener.close();
-    this->peer_listener.close();
-    this->local_listener.close();
-    for (auto* const sessions :
-         {&this->caller_sessions, &this->peer_sessions, &this->local_sessions})
+    this->edge_sessions.is_stopping = true;
+    for (auto* const each : this->all_listeners())
+    {
+        each->close();
+    }
+    for (auto* const sessions : {&this->caller_sessions,
+                                 &this->peer_sessions,
+                                 &this->local_sessions,
+                                 &this->edge_sessions})
     {
         for (auto* const each : sessions->open_sessions)
         {
@@ -355,7 +459,8 @@
 {
     return this->caller_sessions.open_sessions.size() +
            this->peer_sessions.open_sessions.size() +
-           this->local_sessions.open_sessions.size();
+           this->local_sessions.open_sessions.size() +
+           this->edge_sessions.open_sessions.size();
 }
 
 } // namespace plantaintally::drivers
--- a/src/drivers/internal/engine.hpp
+++ b/src/drivers/internal/engine.hpp
@@ -6,6 +6,7 @@
 #include "drivers/internal/connection_pool.hpp"
 #include "drivers/internal/control_link.hpp"
 #include "drivers/internal/counters.hpp"
+#include "drivers/internal/edge_api.hpp"
 #include "drivers/internal/exchange_table.hpp"
 #include "drivers/internal/http_client.hpp"
 #include "drivers/internal/listener.hpp"
@@ -20,6 +21,7 @@
 
 #include <chrono>
 #include <deque>
+#include <list>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,9 +35,13 @@
     engine(asio::any_io_executor const& executor,
            settings::node_settings const& wanted,
            node_id own,
-           decisions decided);
+           decisions decided,
+           dialect spoken_outside);
 
     result<void> open();
+    // Takes over the settings that can change while the node runs, and logs
+    // which others need a new start.
+    void reload(settings::node_settings const& wanted);
     // Starts accepting, and hands the first event to the reducer.
     void start();
     // Hands a planned stop to the reducer, the first time only.
@@ -56,6 +62,9 @@
     void carry_out(release_attempt const& wanted);
     void carry_out(send_control const& wanted);
     void carry_out(call_store const& wanted);
+    void carry_out(answer_report const& wanted);
+    void carry_out(tell_readiness const& wanted);
+    void carry_out(limit_callers const& wanted);
     void carry_out(answer_operator const& wanted);
     void carry_out(wake_at const& wanted);
     void carry_out(drain_upstream const& wanted);
@@ -67,6 +76,8 @@
     settings::node_settings chosen;
     node_id self;
     decisions decide;
+    dialect spoken;
+    dialect between_nodes = native_dialect();
     counters figures;
     task_scope tasks;
     trace_recorder recorder;
@@ -82,13 +93,17 @@
     upstream_probe probe;
     control_link control;
     local_api local;
+    edge_api edge;
     wake_timer timer;
     session_services caller_sessions;
     session_services peer_sessions;
     session_services local_sessions;
+    session_services edge_sessions;
     listener caller_listener;
     listener peer_listener;
     listener local_listener;
+    // Those of the edge that the settings name.
+    std::list<listener> edge_listeners;
 
     std::deque<event> queued;
     bool is_reducing = false;
@@ -100,7 +115,7 @@
     std::function<void(event)> event_sink();
     connection_pool::options pool_options(std::string_view name,
                                           std::uint32_t limit) const;
-    http_client::limits client_limits() const;
+    http_client::limits client_limits(bool takes_unframed_answers) const;
     session_services make_sessions(request_source source,
                                    std::string_view name);
     listener make_listener(std::string_view name,
@@ -111,6 +126,11 @@
     // The effects of an event; none if the reducer throws, which is logged.
     effects decide_on(event const& happened, moment const& now);
     std::string make_trace_id();
+    void open_edge(std::string_view name,
+                   std::optional<settings::endpoint> const& address);
+    // Every listener, the edge's included.
+    std::vector<listener*> all_listeners();
+    read_limits caller_limits(routes::caller_limits const& wanted) const;
     std::vector<node::statistic> collect();
     asio::awaitable<void> keep_house();
     void begin_ending();
--- a/src/drivers/internal/event_kind.cpp
+++ b/src/drivers/internal/event_kind.cpp
@@ -36,6 +36,10 @@
     {
         return "upstream-gone";
     }
+    std::string_view operator()(upstream_reported const&) const
+    {
+        return "upstream-reported";
+    }
     std::string_view operator()(health_hint const&) const
     {
         return "health-hint";
--- a/src/drivers/internal/exchange_table.hpp
+++ b/src/drivers/internal/exchange_table.hpp
@@ -24,14 +24,6 @@
     hop_report report;
 };
 
-// A refusal of this node.
-struct refused_answer
-{
-    std::uint32_t status = 503;
-    std::string detail;
-    hop_report report;
-};
-
 // Nobody is left to answer.
 struct abandoned
 {
--- a/src/drivers/internal/http_client.cpp
+++ b/src/drivers/internal/http_client.cpp
@@ -1,10 +1,13 @@
 #include "drivers/internal/http_client.hpp"
 
+#include "drivers/dialect.hpp"
+
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -105,6 +108,33 @@
     return whole;
 }
 
+// A request being written; kept alive by the writing.
+struct sending
+{
+    sending(request_message content, std::shared_ptr<std::string const> held)
+        : message(std::move(content)), body(std::move(held))
+    {
+    }
+
+    request_message message;
+    std::shared_ptr<std::string const> body;
+    bool is_done = false;
+    error_code problem;
+    std::size_t written = 0;
+};
+
+// True if the answer is the one to this request.
+bool is_awaited(answer const& whole, outgoing_request const& request)
+{
+    header_field const& wanted = request.expected_id;
+    if (wanted.name.empty())
+    {
+        return true;
+    }
+    auto const found = find_header(whole.headers, wanted.name);
+    return found.empty() || found == wanted.value;
+}
+
 // Discards a leased connection unless it was given back.
 class lease_guard
 {
@@ -193,7 +223,7 @@
     auto result =
         co_await this->exchange(connection, request, control, is_reusable);
     control.socket = nullptr;
-    if (is_reusable && !control.is_cancelled())
+    if (is_reusable && connection.buffer.size() == 0 && !control.is_cancelled())
     {
         lease.give_back();
     }
@@ -206,31 +236,65 @@
                       call_control& control,
                       bool& is_reusable)
 {
-    auto const message = to_message(request);
-    error_code problem;
-    auto const written = co_await http::async_write(
-        connection.socket,
-        message,
-        asio::redirect_error(asio::use_awaitable, problem));
-    if (problem)
+    // The answer is read while the request is still written: an upstream may
+    // answer, and stop reading, before it has the whole body. The message
+    // outlives this call if the writing does.
+    auto const sent =
+        std::make_shared<sending>(to_message(request), request.body);
+    http::async_write(connection.socket,
+                      sent->message,
+                      [sent](error_code problem, std::size_t count)
+                      {
+                          sent->is_done = true;
+                          sent->problem = problem;
+                          sent->written = count;
+                      });
+    auto result =
+        co_await this->read_answer(connection, request, control, is_reusable);
+    is_reusable = is_reusable && sent->is_done && !sent->problem;
+    auto const* const failure = std::get_if<call_failure>(&result);
+    bool const is_unwritten = failure != nullptr && sent->is_done &&
+                              sent->problem && sent->written == 0;
+    if (is_unwritten && failure->failure == attempt_failure::closed_after_write)
     {
-        bool const is_written = written > 0;
-        co_return failure_of(control,
-                             connection,
-                             is_written ? attempt_failure::closed_after_write
-                                        : attempt_failure::closed_before_write,
-                             is_written);
+        co_return call_failure{attempt_failure::closed_before_write, false};
     }
-    bool const is_head = request.method == "HEAD";
-    co_return co_await this->read_answer(
-        connection, is_head, control, is_reusable);
+    co_return result;
 }
 
 asio::awaitable<call_result>
 http_client::read_answer(pooled_connection& connection,
-                         bool is_head,
+                         outgoing_request const& request,
                          call_control& control,
                          bool& is_reusable)
+{
+    bool const is_head = request.method == "HEAD";
+    bool has_skipped = false;
+    while (true)
+    {
+        bool is_kept = false;
+        auto result =
+            co_await this->read_one(connection, is_head, control, is_kept);
+        auto const* const whole = std::get_if<answer>(&result);
+        if (whole == nullptr || is_awaited(*whole, request))
+        {
+            is_reusable = is_kept && !has_skipped;
+            co_return result;
+        }
+        if (!is_kept)
+        {
+            co_return call_failure{attempt_failure::closed_after_write, true};
+        }
+        // A late answer to an earlier request on this connection.
+        has_skipped = true;
+    }
+}
+
+asio::awaitable<call_result>
+http_client::read_one(pooled_connection& connection,
+                      bool is_head,
+                      call_control& control,
+                      bool& is_kept)
 {
     std::optional<parser> source;
     error_code problem;
@@ -247,10 +311,10 @@
             asio::redirect_error(asio::use_awaitable, problem));
     } while (!problem && source->get().result_int() < first_final_status);
     bool const has_begun = source->got_some();
-    // An answer that only the end of the connection delimits can't be told
-    // from a short one.
-    bool const is_delimited =
-        problem || is_head || !source->need_eof() || source->is_done();
+    // Unless the other side is known to end answers so, one that only the end
+    // of the connection delimits can't be told from a short one.
+    bool const is_delimited = problem || is_head || !source->need_eof() ||
+                              source->is_done() || this->chosen.takes_unframed;
     if (!problem && !is_delimited)
     {
         co_return call_failure{attempt_failure::incomplete_answer, true};
@@ -268,7 +332,7 @@
         co_return failure_of(
             control, connection, classify(problem, has_begun), true);
     }
-    is_reusable = source->keep_alive() && connection.buffer.size() == 0;
+    is_kept = source->keep_alive();
     co_return take_answer(*source, is_head);
 }
 
--- a/src/drivers/internal/http_client.hpp
+++ b/src/drivers/internal/http_client.hpp
@@ -1,8 +1,8 @@
 // Sends one request and reads its whole answer, over pooled connections.
 #pragma once
 
+#include "drivers/http.hpp"
 #include "drivers/internal/connection_pool.hpp"
-#include "drivers/internal/http.hpp"
 #include "messages/request_types.hpp"
 
 #include <cstdint>
@@ -43,6 +43,8 @@
     {
         std::uint32_t max_header_bytes = 0;
         std::uint64_t max_answer_bytes = 0;
+        // True if an answer may end with its connection.
+        bool takes_unframed = false;
     };
 
     http_client(connection_pool& connections, limits bounds);
@@ -63,10 +65,15 @@
                                           outgoing_request const& request,
                                           call_control& control,
                                           bool& is_reusable);
+    // The answer to this request; late answers to earlier ones are skipped.
     asio::awaitable<call_result> read_answer(pooled_connection& connection,
-                                             bool is_head,
+                                             outgoing_request const& request,
                                              call_control& control,
                                              bool& is_reusable);
+    asio::awaitable<call_result> read_one(pooled_connection& connection,
+                                          bool is_head,
+                                          call_control& control,
+                                          bool& is_kept);
 };
 
 } // namespace plantaintally::drivers
--- a/src/drivers/internal/pending_replies.hpp
+++ b/src/drivers/internal/pending_replies.hpp
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "base/moment.hpp"
-#include "drivers/internal/http.hpp"
+#include "drivers/http.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/redirect_error.hpp>
--- a/src/drivers/internal/platform_client.cpp
+++ b/src/drivers/internal/platform_client.cpp
@@ -196,6 +196,10 @@
         {
             return "unchanged";
         }
+        std::string_view operator()(store_history_lost const&) const
+        {
+            return "history-lost";
+        }
         std::string_view operator()(store_written const&) const
         {
             return "written";
@@ -283,7 +287,8 @@
         timeout = std::min(timeout, wanted.timeout);
     }
     call_control control;
-    auto request = make_store_request(wanted.request, this->chosen.address);
+    auto request = this->chosen.spoken.make_store_request(wanted.request,
+                                                          this->chosen.address);
     // Stands if the call ends by an exception: it may have been written.
     call_result ended = call_failure{attempt_failure::malformed_answer, true};
     try
@@ -305,7 +310,8 @@
     }
     else
     {
-        result = read_store_answer(wanted.request, std::get<answer>(ended));
+        result = this->chosen.spoken.read_store_answer(wanted.request,
+                                                       std::get<answer>(ended));
     }
     this->chosen.figures.add(
         {"store_calls_total", "result", result_name(result), {}, {}});
--- a/src/drivers/internal/platform_client.hpp
+++ b/src/drivers/internal/platform_client.hpp
@@ -1,6 +1,7 @@
 // Calls on the platform's key-value service over HTTP.
 #pragma once
 
+#include "drivers/dialect.hpp"
 #include "drivers/internal/http_client.hpp"
 #include "messages/effects.hpp"
 #include "messages/events.hpp"
@@ -19,6 +20,7 @@
         task_scope& tasks;
         counters& figures;
         http_client& client;
+        dialect const& spoken;
         std::function<void(event)> hand_in;
         // host:port of the service.
         std::string address;
--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace plantaintally::drivers
@@ -121,6 +122,22 @@
     co_return problem;
 }
 
+bool request_reader::read_ahead()
+{
+    std::size_t const room = std::min(
+        this->buffer.max_size() - this->buffer.size(), first_read_bytes);
+    if (room == 0)
+    {
+        return false;
+    }
+    error_code problem;
+    auto const count =
+        this->socket.read_some(this->buffer.prepare(room), problem);
+    this->buffer.commit(count);
+    this->byte_count += count;
+    return !problem;
+}
+
 asio::awaitable<read_result> request_reader::read()
 {
     this->is_between_requests = this->buffer.size() == 0;
--- a/src/drivers/internal/request_reader.hpp
+++ b/src/drivers/internal/request_reader.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "base/moment.hpp"
+#include "drivers/http.hpp"
 #include "drivers/internal/deadline_guard.hpp"
-#include "drivers/internal/http.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 
@@ -52,6 +52,9 @@
                    read_limits const& bounds);
 
     asio::awaitable<read_result> read();
+    // Takes in what has come of further requests, without waiting; false if
+    // there is no room for it.
+    bool read_ahead();
 
     // True while no byte of a next request has been read.
     [[nodiscard]] bool is_idle() const;
@@ -61,7 +64,7 @@
 private:
     tcp::socket& socket;
     deadline_guard& guard;
-    read_limits limits;
+    read_limits const& limits;
     boost::beast::flat_buffer buffer;
     bool is_between_requests = true;
     std::uint64_t byte_count = 0;
--- a/src/drivers/internal/response_writer.hpp
+++ b/src/drivers/internal/response_writer.hpp
@@ -2,8 +2,8 @@
 #pragma once
 
 #include "base/moment.hpp"
+#include "drivers/http.hpp"
 #include "drivers/internal/deadline_guard.hpp"
-#include "drivers/internal/http.hpp"
 
 #include <cstdint>
 
--- a/src/drivers/internal/runtime.cpp
+++ b/src/drivers/internal/runtime.cpp
@@ -1,6 +1,7 @@
 #include "drivers/runtime.hpp"
 
 #include "drivers/internal/engine.hpp"
+#include "logging/logging.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -31,12 +32,14 @@
 public:
     implementation(settings::node_settings const& chosen,
                    node_id self,
-                   decisions decided)
-        : signals(this->io, SIGTERM, SIGINT), end_check(this->io),
+                   decisions decided,
+                   dialect spoken)
+        : signals(this->io, SIGTERM, SIGINT, SIGHUP), end_check(this->io),
           driven(std::make_shared<engine>(this->io.get_executor(),
                                           chosen,
                                           std::move(self),
-                                          std::move(decided)))
+                                          std::move(decided),
+                                          std::move(spoken)))
     {
     }
 
@@ -54,6 +57,11 @@
         this->driven->close();
     }
 
+    void on_reload(std::function<result<settings::node_settings>()> load)
+    {
+        this->load_settings = std::move(load);
+    }
+
     void request_stop()
     {
         asio::post(this->io, [this] { this->driven->request_stop(); });
@@ -65,20 +73,47 @@
     asio::signal_set signals;
     asio::steady_timer end_check;
     std::shared_ptr<engine> driven;
+    std::function<result<settings::node_settings>()> load_settings;
 
     void await_signal()
     {
         this->signals.async_wait(
-            [this](error_code problem, int)
+            [this](error_code problem, int number)
             {
-                if (!problem)
+                if (problem)
+                {
+                    return;
+                }
+                if (number == SIGHUP)
+                {
+                    this->reload();
+                }
+                else
                 {
                     this->driven->request_stop();
-                    this->await_signal();
                 }
+                this->await_signal();
             });
     }
 
+    void reload()
+    {
+        if (!this->load_settings)
+        {
+            return;
+        }
+        auto const loaded = this->load_settings();
+        if (!loaded)
+        {
+            logging::write({logging::level::error,
+                            "drivers",
+                            "settings-rejected",
+                            {{"cause", loaded.error().message}}});
+            return;
+        }
+        this->driven->reload(loaded.value());
+    }
+
     void await_end()
     {
         this->end_check.expires_after(end_check_interval);
@@ -101,9 +136,10 @@
 
 runtime::runtime(settings::node_settings const& chosen,
                  node_id self,
-                 decisions decided)
+                 decisions decided,
+                 dialect spoken)
     : inner(std::make_unique<implementation>(
-          chosen, std::move(self), std::move(decided)))
+          chosen, std::move(self), std::move(decided), std::move(spoken)))
 {
 }
 
@@ -119,6 +155,11 @@
     this->inner->run();
 }
 
+void runtime::on_reload(std::function<result<settings::node_settings>()> load)
+{
+    this->inner->on_reload(std::move(load));
+}
+
 void runtime::request_stop()
 {
     this->inner->request_stop();
--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -1,5 +1,6 @@
 #include "drivers/internal/session.hpp"
 
+#include "drivers/internal/arrival.hpp"
 #include "drivers/internal/response_writer.hpp"
 
 #include <boost/asio/buffer.hpp>
@@ -146,7 +147,10 @@
             co_return co_await this->write(std::move(content));
         }
     }
-    auto arrived = parse_arrival(request, this->origin());
+    bool const is_caller = this->services.source == request_source::caller;
+    auto arrived =
+        is_caller ? this->services.spoken.read_request(request, this->origin())
+                  : parse_arrival(request, this->origin());
     if (arrived)
     {
         co_return co_await this->serve_exchange(std::move(request),
@@ -198,20 +202,34 @@
         tcp::socket::wait_read,
         [this, id, is_watching = std::move(is_watching)](error_code problem)
         {
-            if (problem || !*is_watching || !is_closed(this->socket))
+            if (problem || !*is_watching)
             {
                 return;
             }
-            this->services.figures.add({"requests_abandoned_total",
-                                        "listener",
-                                        this->services.listener_name,
-                                        {},
-                                        {}});
-            this->services.hand_in(caller_gone{id});
-            this->services.exchanges.abandon(id);
+            if (is_closed(this->socket))
+            {
+                return this->note_caller_gone(id);
+            }
+            // The beginning of a further request: it is taken in, so that the
+            // end of the connection behind it is seen.
+            if (this->reader.read_ahead())
+            {
+                this->watch_caller(id, is_watching);
+            }
         });
 }
 
+void session::note_caller_gone(exchange_id id)
+{
+    this->services.figures.add({"requests_abandoned_total",
+                                "listener",
+                                this->services.listener_name,
+                                {},
+                                {}});
+    this->services.hand_in(caller_gone{id});
+    this->services.exchanges.abandon(id);
+}
+
 asio::awaitable<bool> session::write_reply(answer_recipient const& recipient,
                                            exchange_reply const& reply,
                                            bool is_head,
@@ -224,19 +242,22 @@
     outgoing_answer content;
     content.is_head = is_head;
     content.is_keep_alive = is_keep_alive;
-    std::string problem_body;
+    bool const is_caller = this->services.source == request_source::caller;
+    dialect const& spoken =
+        is_caller ? this->services.spoken : this->services.between_nodes;
+    refusal_message message;
     if (auto const* const refused = std::get_if<refused_answer>(&reply))
     {
-        problem_body = write_problem(to_problem(*refused));
+        message = spoken.write_refusal(recipient, *refused);
         content.status = refused->status;
-        content.headers = refusal_headers(recipient, *refused);
-        content.body = problem_body;
+        content.headers = std::move(message.headers);
+        content.body = message.body;
     }
     else
     {
         auto const& passed = std::get<passed_answer>(reply);
         content.status = passed.content->status;
-        content.headers = common_headers(recipient, passed.report);
+        content.headers = spoken.answer_headers(recipient, passed.report);
         auto const& own = passed.content->headers;
         content.headers.insert(content.headers.end(), own.begin(), own.end());
         content.body = passed.content->body;
@@ -295,6 +316,12 @@
 arrival_origin session::origin() const
 {
     bool const is_local = this->services.source == request_source::local;
+    if (!this->services.caller_service.empty())
+    {
+        return {this->services.source,
+                this->services.caller_service,
+                this->services.make_trace_id()};
+    }
     return {this->services.source,
             is_local ? this->services.local_service() : this->remote_ip,
             this->services.make_trace_id()};
--- a/src/drivers/internal/session.hpp
+++ b/src/drivers/internal/session.hpp
@@ -2,6 +2,7 @@
 // turn, each answered before the next is read.
 #pragma once
 
+#include "drivers/dialect.hpp"
 #include "drivers/internal/answer_headers.hpp"
 #include "drivers/internal/counters.hpp"
 #include "drivers/internal/deadline_guard.hpp"
@@ -33,6 +34,9 @@
 {
     counters& figures;
     exchange_table& exchanges;
+    // How callers speak, and how nodes speak to one another.
+    dialect const& spoken;
+    dialect const& between_nodes;
     std::function<void(event)> hand_in;
     read_limits limits;
     duration write_timeout{};
@@ -42,6 +46,8 @@
     std::function<std::string()> make_trace_id;
     // The service of the local upstream.
     std::function<std::string()> local_service;
+    // The service that callers are taken for; empty: they go by their address.
+    std::string caller_service;
     // Answers a request of the local interface; nothing if it is none of it.
     std::function<asio::awaitable<std::optional<local_answer>>(
         incoming_request const&)>
@@ -84,6 +90,7 @@
     asio::awaitable<bool> write(outgoing_answer content);
     asio::awaitable<void> refuse_input(read_failure failure);
     void watch_caller(exchange_id id, std::shared_ptr<bool> is_watching);
+    void note_caller_gone(exchange_id id);
     void count_input(std::string_view reason);
     [[nodiscard]] arrival_origin origin() const;
 };
--- a/src/drivers/internal/task_scope.hpp
+++ b/src/drivers/internal/task_scope.hpp
@@ -1,7 +1,7 @@
 // Starts coroutines that keep the drivers alive for as long as they run.
 #pragma once
 
-#include "drivers/internal/http.hpp"
+#include "drivers/http.hpp"
 
 #include <boost/asio/any_io_executor.hpp>
 
--- a/src/drivers/runtime.hpp
+++ b/src/drivers/runtime.hpp
@@ -3,6 +3,7 @@
 
 #include "base/moment.hpp"
 #include "base/result.hpp"
+#include "drivers/dialect.hpp"
 #include "messages/effects.hpp"
 #include "messages/events.hpp"
 #include "node/statistics.hpp"
@@ -33,7 +34,8 @@
     // `self` is what the node is called in control messages.
     runtime(settings::node_settings const& chosen,
             node_id self,
-            decisions decided);
+            decisions decided,
+            dialect spoken = native_dialect());
     ~runtime();
     runtime(runtime const&) = delete;
     runtime& operator=(runtime const&) = delete;
@@ -46,6 +48,10 @@
     // answered by then is written. SIGTERM and SIGINT ask for a planned stop.
     void run();
 
+    // What is called on SIGHUP, to read the settings anew; a failure leaves
+    // those in force.
+    void on_reload(std::function<result<settings::node_settings>()> load);
+
     // Asks for a planned stop, as SIGTERM does; from any thread.
     void request_stop();
 
--- a/src/drivers/tests/arrival_test.cpp
+++ b/src/drivers/tests/arrival_test.cpp
@@ -36,6 +36,7 @@
                       from(request_source::caller));
     REQUIRE(parsed.has_value());
     CHECK(parsed.value().head == request_head{"t1",
+                                              "duty-desk",
                                               "duty-desk",
                                               "POST",
                                               "/swap?slot=7",
--- a/src/lifecycle/internal/lifecycle.cpp
+++ b/src/lifecycle/internal/lifecycle.cpp
@@ -1,5 +1,7 @@
 #include "lifecycle/lifecycle.hpp"
 
+#include <algorithm>
+
 namespace plantaintally::lifecycle
 {
 
@@ -53,7 +55,7 @@
     return compare(was_open, lifecycle);
 }
 
-transition stop(state& lifecycle, duration limit, instant now)
+transition stop(state& lifecycle, stop_times const& times, instant now)
 {
     if (lifecycle.is_stopping)
     {
@@ -61,7 +63,8 @@
     }
     bool const was_open = takes_work(lifecycle);
     lifecycle.is_stopping = true;
-    lifecycle.stop_deadline = now + limit;
+    lifecycle.stop_deadline = now + times.limit;
+    lifecycle.stop_earliest = now + std::min(times.linger, times.limit);
     return compare(was_open, lifecycle);
 }
 
@@ -71,7 +74,8 @@
     {
         return false;
     }
-    bool const is_done = !left.has_exchanges && left.are_keys_handed_over;
+    bool const is_done = !left.has_exchanges && left.are_keys_handed_over &&
+                         now >= lifecycle.stop_earliest;
     if (!is_done && now < lifecycle.stop_deadline)
     {
         return false;
@@ -80,13 +84,14 @@
     return true;
 }
 
-std::optional<instant> next_deadline(state const& lifecycle)
+std::optional<instant> next_deadline(state const& lifecycle, instant now)
 {
     if (!lifecycle.is_stopping || lifecycle.is_exit_asked)
     {
         return std::nullopt;
     }
-    return lifecycle.stop_deadline;
+    return now < lifecycle.stop_earliest ? lifecycle.stop_earliest
+                                         : lifecycle.stop_deadline;
 }
 
 } // namespace plantaintally::lifecycle
--- a/src/lifecycle/lifecycle.hpp
+++ b/src/lifecycle/lifecycle.hpp
@@ -17,6 +17,8 @@
     bool is_stopping = false;
     // The stop ends at this time even if requests are still in flight.
     instant stop_deadline = instant::max();
+    // The stop does not end before this time.
+    instant stop_earliest{};
     bool is_exit_asked = false;
 };
 
@@ -43,8 +45,17 @@
 // The upstream has stopped.
 transition remove_upstream(state& lifecycle);
 
+// How long a planned stop goes on serving.
+struct stop_times
+{
+    // At least, also if nothing is in flight.
+    duration linger{};
+    // At most, even if requests are in flight.
+    duration limit{};
+};
+
 // A planned stop; a second request changes nothing.
-transition stop(state& lifecycle, duration limit, instant now);
+transition stop(state& lifecycle, stop_times const& times, instant now);
 
 // What a stopping node still has to do.
 struct open_work
@@ -56,7 +67,7 @@
 // True once, when the process is to end.
 bool ask_exit(state& lifecycle, open_work const& left, instant now);
 
-// When the stop ends at the latest.
-std::optional<instant> next_deadline(state const& lifecycle);
+// When ask_exit may have another answer although nothing happens.
+std::optional<instant> next_deadline(state const& lifecycle, instant now);
 
 } // namespace plantaintally::lifecycle
--- a/src/lifecycle/tests/lifecycle_test.cpp
+++ b/src/lifecycle/tests/lifecycle_test.cpp
@@ -39,7 +39,7 @@
 {
     lifecycle::state life = serving();
     instant const now{1s};
-    lifecycle::stop(life, 60s, now);
+    lifecycle::stop(life, {0s, 60s}, now);
     CHECK_FALSE(lifecycle::ask_exit(life, {true, true}, now));
     CHECK_FALSE(lifecycle::ask_exit(life, {false, false}, now));
     CHECK(lifecycle::ask_exit(life, {false, true}, now));
@@ -50,8 +50,8 @@
 {
     lifecycle::state life = serving();
     instant const now{1s};
-    lifecycle::stop(life, 60s, now);
-    lifecycle::stop(life, 60s, now + 30s);
+    lifecycle::stop(life, {0s, 60s}, now);
+    lifecycle::stop(life, {0s, 60s}, now + 30s);
     CHECK_FALSE(lifecycle::ask_exit(life, {true, false}, now + 59s));
     CHECK(lifecycle::ask_exit(life, {true, false}, now + 60s));
 }
--- a/src/logging/internal/logging.cpp
+++ b/src/logging/internal/logging.cpp
@@ -58,7 +58,11 @@
     try
     {
         spdlog::sink_ptr sink;
-        if (wanted.file.empty())
+        if (wanted.file.empty() && wanted.is_to_stdout)
+        {
+            sink = std::make_shared<spdlog::sinks::stdout_sink_st>();
+        }
+        else if (wanted.file.empty())
         {
             sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
         }
@@ -80,6 +84,16 @@
     return BOOST_OUTCOME_V2_NAMESPACE::success();
 }
 
+void set_level(level least)
+{
+    auto& opened = open_log();
+    opened.chosen.least = least;
+    if (opened.sink != nullptr)
+    {
+        opened.sink->set_level(to_spdlog(least));
+    }
+}
+
 bool is_enabled(level severity)
 {
     auto const& opened = open_log();
--- a/src/logging/logging.hpp
+++ b/src/logging/logging.hpp
@@ -31,8 +31,9 @@
     format form = format::plain;
     // Least level that is written.
     level least = level::info;
-    // Empty: standard error.
+    // Empty: a standard stream.
     std::string file;
+    bool is_to_stdout = false;
     // Names this process in every line: the node's peer address.
     std::string node;
 };
@@ -53,6 +54,9 @@
 // Opens the log; fails if the file can't be opened.
 result<void> start(options const& wanted);
 
+// Changes the least level that is written.
+void set_level(level least);
+
 // True if records of this severity are written.
 bool is_enabled(level severity);
 
--- a/src/membership/internal/heartbeats.cpp
+++ b/src/membership/internal/heartbeats.cpp
@@ -43,6 +43,7 @@
     beat.news = heartbeat_news(membership);
     beat.view_hash = hash_service(membership, membership.self_record->service);
     beat.configuration_revision = membership.configuration_revision;
+    beat.routes_version = membership.routes_version;
     return beat;
 }
 
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -394,6 +394,11 @@
     membership.configuration_revision = revision;
 }
 
+void note_routes(state& membership, std::uint64_t version)
+{
+    membership.routes_version = version;
+}
+
 void handle_message(state& membership,
                     node_id const& sender,
                     message const& received,
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -37,6 +37,8 @@
 // of others come in heartbeat::configuration_revision; hand them to
 // configuration::note_peer_revision.
 void note_configuration(state& membership, std::uint64_t revision);
+// The same for the route table: heartbeat::routes_version.
+void note_routes(state& membership, std::uint64_t version);
 
 void handle_message(state& membership,
                     node_id const& sender,
--- a/src/membership/messages.hpp
+++ b/src/membership/messages.hpp
@@ -44,6 +44,8 @@
     std::uint64_t view_hash = 0;
     // The configuration revision in force at the sender.
     std::uint64_t configuration_revision = 0;
+    // The version of the route table in force at the sender.
+    std::uint64_t routes_version = 0;
     // The sender has chosen another outside watcher: don't miss its heartbeats.
     bool ends_watch = false;
 
--- a/src/membership/state.hpp
+++ b/src/membership/state.hpp
@@ -160,6 +160,8 @@
     std::uint64_t view_version = 0;
     // The configuration revision that heartbeats tell.
     std::uint64_t configuration_revision = 0;
+    // The version of the route table that heartbeats tell.
+    std::uint64_t routes_version = 0;
     // Bytes of gossip that may be sent now; refilled over time.
     double gossip_allowance = 0;
     instant gossip_refilled_at{};
--- a/src/messages/control_message.hpp
+++ b/src/messages/control_message.hpp
@@ -7,6 +7,7 @@
 #include "membership/messages.hpp"
 #include "once/messages.hpp"
 #include "query/messages.hpp"
+#include "routes/messages.hpp"
 
 #include <variant>
 
@@ -16,7 +17,8 @@
 using control_message = std::variant<membership::message,
                                      configuration::message,
                                      once::message,
-                                     query::message>;
+                                     query::message,
+                                     routes::message>;
 
 // A control message with its sender, as sent over the peer link. Delivery is
 // at least once or not at all; every subject tolerates both.
--- a/src/messages/effects.hpp
+++ b/src/messages/effects.hpp
@@ -6,6 +6,7 @@
 #include "messages/control_message.hpp"
 #include "messages/request_types.hpp"
 #include "messages/store_types.hpp"
+#include "routes/route_table.hpp"
 #include "timeline/timeline_entry.hpp"
 
 #include <string>
@@ -34,6 +35,10 @@
     exchange_id exchange;
     std::string upstream_address;
     std::string trace_id;
+    // The service whose upstream or callers sent the request.
+    std::string caller;
+    // The life of the upstream that shall run it; empty: any.
+    std::string instance;
     duration time_left{};
     duration timeout{};
 };
@@ -85,6 +90,25 @@
     duration timeout{};
 };
 
+// Answer a report of the upstream. Not accepted: it should report again.
+struct answer_report
+{
+    report_id report;
+    bool is_accepted = true;
+};
+
+// Whether this node tells its callers' side that it takes work.
+struct tell_readiness
+{
+    bool is_ready = false;
+};
+
+// From now on callers are held to these limits; zero fields: the settings'.
+struct limit_callers
+{
+    routes::caller_limits limits;
+};
+
 // Answer an operator's command.
 struct answer_operator
 {
@@ -133,6 +157,9 @@
                             release_attempt,
                             send_control,
                             call_store,
+                            answer_report,
+                            tell_readiness,
+                            limit_callers,
                             answer_operator,
                             wake_at,
                             drain_upstream,
--- a/src/messages/events.hpp
+++ b/src/messages/events.hpp
@@ -39,6 +39,8 @@
     std::optional<hop_report> report;
     // True if the upstream states that it refused without running.
     bool is_upstream_refusal = false;
+    // True if another life of the upstream than the wanted one refused it.
+    bool is_misdirected = false;
 };
 
 // An attempt ended without a whole answer. `is_written` is false only if no
@@ -61,6 +63,17 @@
 {
 };
 
+// The upstream tells which life of it does what, and waits for an answer: see
+// answer_report.
+struct upstream_reported
+{
+    report_id report;
+    upstream_life life;
+    upstream_phase phase = upstream_phase::ready;
+    // Unless it is gone.
+    upstream_announcement announcement;
+};
+
 // The upstream has gone: its local connection or process ended.
 struct upstream_gone
 {
@@ -111,6 +124,7 @@
                            upstream_announced,
                            upstream_drain_requested,
                            upstream_gone,
+                           upstream_reported,
                            health_hint,
                            control_received,
                            store_replied,
--- a/src/messages/request_types.hpp
+++ b/src/messages/request_types.hpp
@@ -26,6 +26,8 @@
 struct request_head
 {
     std::string trace_id;
+    // The authority that the request was sent to, in lower case without port.
+    std::string host;
     std::string service;
     std::string method;
     std::string target;
@@ -40,10 +42,26 @@
     bool operator==(request_head const&) const = default;
 };
 
+// What the operators' route says of a request.
+struct route_terms
+{
+    // True if the request may run more than once.
+    bool is_repeatable = false;
+    // Upstreams that the request may be sent to, the first one included.
+    std::uint32_t max_attempts = 1;
+    // Time left until an answer earns less than its full worth.
+    duration aim_left{};
+
+    bool operator==(route_terms const&) const = default;
+};
+
 // What a node tells the next node about a request; only read from the peer
 // listener.
 struct hop_context
 {
+    // The service that the entrance has chosen; empty: the one that the
+    // authority names.
+    std::string service;
     std::string rank;
     std::uint32_t urgency = 0;
     // Retries that the rest of the chain may still spend. Each execution of a
@@ -59,6 +77,8 @@
     // True if the sender would have shed the request by the level that it
     // knows, and sends it to find out whether that still holds.
     bool is_probe = false;
+    // What the entrance has read of the operators' route; absent without one.
+    std::optional<route_terms> route;
     hybrid_time sent_at;
 
     bool operator==(hop_context const&) const = default;
@@ -70,6 +90,8 @@
     verdict outcome = verdict::may_have_run;
     // Set if the answer is a node's refusal and not an upstream's answer.
     std::optional<refusal> reason;
+    // True if an upstream was handed the request, whatever became of it.
+    bool has_reached_upstream = false;
     // Executions of calls in this subtree of the chain, retries included.
     std::uint32_t attempts = 0;
     // The unspent part of the retries handed down.
@@ -79,6 +101,8 @@
     std::uint32_t admission_level = 0;
     // Requests running and queued at the node, in thousandths of its limit.
     std::uint32_t load_permille = 0;
+    // Requests that the upstream failed or refused lately, in thousandths.
+    std::uint32_t failure_permille = 0;
     bool is_draining = false;
     // With reason not_key_home: the address of the home in the sender's epoch.
     std::string key_home;
@@ -98,10 +122,33 @@
     std::uint32_t connections = 1;
     // Time from the announcement until full speed is reached.
     duration cold_start{};
+    // Names this start of the upstream; empty if it tells no name.
+    std::string instance;
 
     bool operator==(upstream_announcement const&) const = default;
 };
 
+// One start of the upstream beside a node, and which of its reports this is.
+struct upstream_life
+{
+    std::string instance;
+    // Start of the upstream, in milliseconds since the Unix epoch; zero if it
+    // does not tell.
+    std::uint64_t born_ms = 0;
+    // Grows with each report of the same life; zero if it does not tell.
+    std::uint64_t sequence = 0;
+
+    bool operator==(upstream_life const&) const = default;
+};
+
+// What an upstream says that it does.
+enum class upstream_phase
+{
+    ready,
+    draining,
+    gone
+};
+
 // How an attempt ended without a whole answer.
 enum class attempt_failure
 {
--- a/src/messages/store_types.hpp
+++ b/src/messages/store_types.hpp
@@ -17,7 +17,9 @@
 {
     membership,
     configuration,
-    once
+    once,
+    routes,
+    departures
 };
 
 // A key's value and the store-wide revision of its last write.
@@ -26,6 +28,8 @@
     std::string key;
     std::string value;
     std::uint64_t revision = 0;
+    // Position in the store's history that was read; zero: the revision.
+    std::uint64_t cursor = 0;
 
     bool operator==(store_entry const&) const = default;
 };
@@ -47,8 +51,8 @@
     bool operator==(store_compare_and_set const&) const = default;
 };
 
-// Answers once the key's revision is above `after_revision`, or with
-// store_unchanged after `limit`.
+// Answers once the key's revision is above `after_revision`, which may be the
+// cursor of an earlier result, or with store_unchanged after `limit`.
 struct store_watch
 {
     std::string key;
@@ -77,14 +81,22 @@
 
 struct store_missing
 {
+    std::uint64_t cursor = 0;
     bool operator==(store_missing const&) const = default;
 };
 
 struct store_unchanged
 {
+    std::uint64_t cursor = 0;
     bool operator==(store_unchanged const&) const = default;
 };
 
+// The store no longer has the history that a watch asked for.
+struct store_history_lost
+{
+    bool operator==(store_history_lost const&) const = default;
+};
+
 struct store_written
 {
     std::uint64_t revision = 0;
@@ -121,6 +133,7 @@
 using store_result = std::variant<store_entry,
                                   store_missing,
                                   store_unchanged,
+                                  store_history_lost,
                                   store_written,
                                   store_conflict,
                                   store_lease_held,
--- a/src/node/exchange.hpp
+++ b/src/node/exchange.hpp
@@ -72,6 +72,8 @@
     exchange_phase phase = exchange_phase::arrived;
     instant arrived_at{};
     instant deadline{};
+    // Until when an answer is worth most; the deadline without a route.
+    instant aim{};
     // When the exchange is looked at next; none while it is max.
     instant timer = instant::max();
     std::uint32_t retries_left = 0;
@@ -79,6 +81,8 @@
     std::uint32_t redirections_made = 0;
     // Times that the own upstream refused it without running it.
     std::uint32_t upstream_refusals = 0;
+    // True if an upstream was handed the request, whatever became of it.
+    bool has_reached_upstream = false;
     // Executions so far, here and below.
     std::uint32_t executions = 0;
     // True if an earlier sending may have run.
@@ -123,6 +127,9 @@
 // True for a request whose execution must happen at most once.
 bool is_keyed(exchange const& item);
 
+// True if the request may run more than once without harm.
+bool is_repeatable(exchange const& item);
+
 // True if this node chooses the member that serves the request and retries.
 bool is_origin(exchange const& item);
 
--- a/src/node/internal/abandon.cpp
+++ b/src/node/internal/abandon.cpp
@@ -18,7 +18,7 @@
 // harm.
 bool may_cancel(exchange const& item)
 {
-    return !is_keyed(item) && retry::is_idempotent_method(item.head.method);
+    return is_repeatable(item);
 }
 
 void abandon_queued(state& node, exchange& item, step& current)
--- a/src/node/internal/admit.cpp
+++ b/src/node/internal/admit.cpp
@@ -44,6 +44,7 @@
                        ? refusal::draining
                        : refusal::no_upstream;
     ended.detail = "the upstream takes no new work";
+    ended.is_unsent = true;
     end_sending(node, item, ended, current);
 }
 
@@ -62,6 +63,7 @@
     ended.reason = reason;
     ended.retry_after = retry_after;
     ended.detail = "the upstream has no room for this request";
+    ended.is_unsent = true;
     ended.level = admission::admission_level(
         node.admission, item.hop.rank, current.now.monotonic);
     end_sending(node, item, ended, current);
@@ -106,6 +108,7 @@
     count(node, item, count_kind::admitted, {}, current);
     sending const& sent = start_sending(node, item, {}, 0, current);
     ++item.executions;
+    item.has_reached_upstream = true;
     item.downstream = downstream_calls{};
     node.table.by_trace.emplace(item.head.trace_id, item.id);
     duration const left =
@@ -116,6 +119,9 @@
     effect.upstream_address =
         node.lifecycle.upstream ? node.lifecycle.upstream->address : "";
     effect.trace_id = item.head.trace_id;
+    effect.caller = item.head.caller;
+    effect.instance =
+        node.lifecycle.upstream ? node.lifecycle.upstream->instance : "";
     effect.time_left = left;
     effect.timeout = is_keyed(item) ? left + keyed_grace : left;
     current.out.push_back(std::move(effect));
--- a/src/node/internal/answer.cpp
+++ b/src/node/internal/answer.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::uint32_t bad_request_status = 400;
+constexpr std::uint32_t no_route_status = 404;
 constexpr std::uint32_t too_large_status = 413;
 constexpr std::uint32_t not_run_status = 503;
 constexpr std::uint32_t may_have_run_status = 504;
@@ -20,6 +21,10 @@
     {
         return bad_request_status;
     }
+    if (ended.reason == refusal::no_route)
+    {
+        return no_route_status;
+    }
     if (ended.reason == refusal::too_large)
     {
         return too_large_status;
@@ -101,6 +106,7 @@
         report.reason = ended.reason.value_or(refusal::attempt_failed);
         report.retry_after = std::max(ended.retry_after, default_retry_after);
     }
+    report.has_reached_upstream = item.has_reached_upstream;
     report.attempts = item.executions;
     report.retries_left = item.retries_left;
     report.admission_level =
--- a/src/node/internal/attempt.cpp
+++ b/src/node/internal/attempt.cpp
@@ -88,6 +88,12 @@
 {
     sending_outcome ended;
     ended.status = answered.status;
+    if (answered.is_misdirected)
+    {
+        ended.reason = refusal::draining;
+        ended.detail = "another upstream has the address now";
+        return ended;
+    }
     if (answered.is_upstream_refusal)
     {
         ended.reason = refusal::overload;
@@ -110,7 +116,7 @@
 {
     bool const is_due =
         node.own.is_policy_enabled && answered.is_upstream_refusal &&
-        !item.downstream.is_refused && !item.is_answered &&
+        !item.hop.route && !item.downstream.is_refused && !item.is_answered &&
         item.upstream_refusals < max_upstream_refusals &&
         fold_verdict(item, verdict::not_run) == verdict::not_run;
     if (!is_due)
@@ -145,11 +151,15 @@
                            was_shed_below(item, ended),
                            item.downstream.refused_level,
                            current.now.monotonic);
-    if (answered.is_upstream_refusal)
+    if (answered.is_upstream_refusal || answered.is_misdirected)
     {
         --item.executions;
         current.out.push_back(release_attempt{answered.attempt});
     }
+    if (answered.is_misdirected)
+    {
+        note_upstream_lost(node, "upstream-replaced", current);
+    }
     if (wait_again(node, item, answered, current))
     {
         return;
@@ -175,6 +185,8 @@
         membership::note_draining(node.membership, sent.peer, current);
     }
     item.executions += report.attempts;
+    item.has_reached_upstream =
+        item.has_reached_upstream || report.has_reached_upstream;
     item.retries_left +=
         retry::returned_budget(sent.passed_retries, report.retries_left);
 }
@@ -199,6 +211,7 @@
         return end_sending(node, item, ended, current);
     }
     ended.detail = "refused by " + sent.peer;
+    ended.is_unsent = !report.has_reached_upstream;
     ended.is_peer_word = true;
     ended.level = report.admission_level;
     item.tried.push_back(sent.peer);
@@ -240,6 +253,10 @@
         return note_peer_failure(node, item, sent, failed.failure, current);
     }
     item.executions -= failed.is_written ? 0 : 1;
+    if (failed.failure == attempt_failure::connect_refused)
+    {
+        note_upstream_lost(node, "upstream-unreachable", current);
+    }
     bool const is_late = failed.failure == attempt_failure::timed_out;
     finish_at_upstream(node,
                        item,
@@ -322,6 +339,7 @@
     ended.outcome =
         failed.is_written ? verdict::may_have_run : verdict::not_run;
     ended.reason = reason_of(failed.failure);
+    ended.is_unsent = !failed.is_written;
     ended.detail = to_string(failed.failure);
     record(current,
            item->head.trace_id,
--- a/src/node/internal/conclude.cpp
+++ b/src/node/internal/conclude.cpp
@@ -33,14 +33,42 @@
     return true;
 }
 
-retry::failed_sending
-describe(exchange const& item, sending_outcome const& ended, instant now)
+// Part of the time until an answer loses worth that may be spent on looking
+// for a member with room; after it a refusal counts as late.
+constexpr int search_share = 8;
+
+// Another member takes work that was not tried, and there is time to ask it.
+bool may_still_move(state const& node, exchange const& item, instant now)
+{
+    duration const spent = now - item.arrived_at;
+    if (spent * search_share > item.aim - item.arrived_at)
+    {
+        return false;
+    }
+    auto const members =
+        membership::members_of(node.membership, item.head.service);
+    return std::ranges::any_of(
+        members,
+        [&](membership::member_record const& member)
+        {
+            return member.status == membership::member_status::alive &&
+                   std::ranges::find(item.tried, member.node.address) ==
+                       item.tried.end();
+        });
+}
+
+retry::failed_sending describe(state const& node,
+                               exchange const& item,
+                               sending_outcome const& ended,
+                               instant now)
 {
     retry::failed_sending failed;
     failed.service = item.head.service;
     failed.outcome = ended.outcome;
     failed.reason = ended.reason;
-    failed.is_idempotent = retry::is_idempotent_method(item.head.method);
+    failed.is_idempotent = is_repeatable(item);
+    failed.is_free_to_move =
+        item.hop.route && ended.is_unsent && may_still_move(node, item, now);
     failed.is_keyed = is_keyed(item);
     failed.retries_left = item.retries_left;
     failed.retries_made = item.retries_made;
@@ -76,7 +104,7 @@
     }
     auto const decision =
         retry::decide(node.retries,
-                      describe(item, ended, current.now.monotonic),
+                      describe(node, item, ended, current.now.monotonic),
                       node.random);
     if (decision.kind == retry::retry_kind::give_up)
     {
--- a/src/node/internal/exchange.cpp
+++ b/src/node/internal/exchange.cpp
@@ -1,5 +1,7 @@
 #include "node/exchange.hpp"
 
+#include "retry/policy.hpp"
+
 namespace plantaintally::node
 {
 
@@ -42,6 +44,15 @@
     return !item.head.idempotency_key.empty();
 }
 
+bool is_repeatable(exchange const& item)
+{
+    if (item.hop.route)
+    {
+        return item.hop.route->is_repeatable;
+    }
+    return !is_keyed(item) && retry::is_idempotent_method(item.head.method);
+}
+
 bool is_origin(exchange const& item)
 {
     return item.source != request_source::peer;
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -32,6 +32,10 @@
                                               this->sender.address,
                                               beat->configuration_revision,
                                               this->current);
+            routes::note_peer_version(this->node.routes,
+                                      this->sender.address,
+                                      beat->routes_version,
+                                      this->current);
         }
         membership::handle_message(
             this->node.membership, this->sender, received, this->current);
@@ -53,6 +57,12 @@
             this->node.once, this->sender, received, this->current);
     }
 
+    void operator()(routes::message const& received) const
+    {
+        routes::handle_message(
+            this->node.routes, this->sender, received, this->current);
+    }
+
     void operator()(query::message const& received) const
     {
         handle_query(this->node, this->sender, received, this->current);
@@ -74,6 +84,15 @@
     case store_client::once:
         return once::handle_store(
             node.once, replied.call, replied.result, current);
+    case store_client::routes:
+        return routes::handle_store(
+            node.routes, replied.call, replied.result, current);
+    case store_client::departures:
+        return follow_departures(
+            node,
+            departures::handle_store(
+                node.departures, replied.call, replied.result, current),
+            current);
     }
 }
 
@@ -84,11 +103,26 @@
     auto const peers = draw_gossip_peers(node, current);
     configuration::handle_time(node.configuration, peers, current);
     once::handle_time(node.once, current);
+    departures::handle_time(node.departures, current);
+    watch_upstream(node, current);
     query::handle_time(node.queries, current);
     serve_queue(node, current);
     handle_exchange_timers(node, current);
 }
 
+// Reads and watches the route table when that is due.
+void advance_routes(state& node, step& current)
+{
+    auto const next = routes::next_deadline(node.routes);
+    if (!next || *next > current.now.monotonic)
+    {
+        return;
+    }
+    auto const peers = draw_gossip_peers(node, current);
+    routes::handle_time(
+        node.routes, peers, membership::member_count(node.membership), current);
+}
+
 // Hands an event to the step that handles it.
 struct event_visitor
 {
@@ -131,6 +165,11 @@
         handle_drain(this->node, this->current);
     }
 
+    void operator()(upstream_reported const& happened) const
+    {
+        handle_report(this->node, happened, this->current);
+    }
+
     void operator()(upstream_gone const&) const
     {
         handle_upstream_gone(this->node, this->current);
@@ -182,7 +221,12 @@
     node.is_started = true;
     membership::start(node.membership, current);
     configuration::start(node.configuration, current);
+    routes::start(node.routes, current);
     once::start(node.once, current);
+    if (node.own.has_routes)
+    {
+        departures::start(node.departures, current);
+    }
 }
 
 void take_earlier(std::optional<instant> candidate, instant& earliest)
@@ -196,8 +240,11 @@
     take_earlier(membership::next_deadline(node.membership), earliest);
     take_earlier(configuration::next_deadline(node.configuration), earliest);
     take_earlier(once::next_deadline(node.once), earliest);
+    take_earlier(routes::next_deadline(node.routes), earliest);
+    take_earlier(departures::next_deadline(node.departures), earliest);
+    take_earlier(upstream_deadline(node), earliest);
     take_earlier(query::next_deadline(node.queries), earliest);
-    take_earlier(lifecycle::next_deadline(node.lifecycle), earliest);
+    take_earlier(lifecycle::next_deadline(node.lifecycle, now), earliest);
     take_earlier(admission::next_deadline(node.admission, now), earliest);
     if (!node.table.timers.empty())
     {
@@ -239,8 +286,10 @@
     step current{now, node.random, node.ids, node.clock, out};
     start_once(node, current);
     std::visit(event_visitor{node, current}, happened);
+    advance_routes(node, current);
     follow_configuration(node, current);
     follow_members(node, current);
+    follow_routes(node, current);
     handle_resolved_claims(node, current);
     serve_queue(node, current);
     finish_stop(node, current);
@@ -260,6 +309,10 @@
     node.configuration.self = own.self;
     node.configuration.availability_zone = own.availability_zone;
     node.configuration.in_force = configuration::default_document();
+    node.routes.self = own.self;
+    node.routes.is_enabled = own.has_routes;
+    node.departures.self = own.self;
+    node.retries.own = own.retries;
     node.once.own.self = own.self;
     node.once.own.availability_zone = own.availability_zone;
     return node;
--- a/src/node/internal/request_path.hpp
+++ b/src/node/internal/request_path.hpp
@@ -24,6 +24,8 @@
     std::uint32_t status = 0;
     std::string detail;
     duration retry_after{};
+    // True if no upstream was handed the request by this sending.
+    bool is_unsent = false;
     // True if another node refused the request and told the verdict.
     bool is_peer_word = false;
     // The level at which a peer refused, or zero.
@@ -114,9 +116,22 @@
                          upstream_announced const& announced,
                          step& current);
 void handle_drain(state& node, step& current);
+void handle_report(state& node,
+                   upstream_reported const& reported,
+                   step& current);
+void follow_departures(state& node,
+                       departures::outcome const& ended,
+                       step& current);
+// The upstream can't be reached, or is another one than it said.
+void note_upstream_lost(state& node, std::string_view why, step& current);
+// Takes an upstream that no longer reports for gone.
+void watch_upstream(state& node, step& current);
+std::optional<instant> upstream_deadline(state const& node);
 void handle_upstream_gone(state& node, step& current);
 void handle_stop(state& node, step& current);
 void follow_configuration(state& node, step& current);
+// Tells the callers' side whether the node takes work, and its limits.
+void follow_routes(state& node, step& current);
 void follow_members(state& node, step& current);
 void finish_stop(state& node, step& current);
 
--- a/src/node/internal/route.cpp
+++ b/src/node/internal/route.cpp
@@ -123,10 +123,23 @@
                                                     current.now.monotonic);
 }
 
+// A node's part of the repeats that the whole fleet may send at once.
+void share_repeats(state& node)
+{
+    if (node.own.fleet_repeats <= 0)
+    {
+        return;
+    }
+    auto const members = static_cast<double>(
+        std::max<std::size_t>(membership::member_count(node.membership), 1));
+    node.retries.own.most = std::max(1.0, node.own.fleet_repeats / members);
+}
+
 bool is_refused_while_stopping(state const& node, exchange const& item)
 {
     return node.lifecycle.is_stopping &&
-           item.source == request_source::caller && !is_keyed(item);
+           item.source == request_source::caller && !is_keyed(item) &&
+           !item.hop.route;
 }
 
 } // namespace
@@ -149,6 +162,7 @@
     }
     if (item.retries_made + item.redirections_made == 0)
     {
+        share_repeats(node);
         retry::note_request(node.retries, item.head.service);
     }
     if (is_throttled(node, item, current))
@@ -218,6 +232,11 @@
     effect.hop.retries_left = split.passed;
     effect.hop.depth = item.hop.depth + 1;
     effect.hop.sent_at = timeline::advance(node.clock, current.now.wall);
+    if (effect.hop.route)
+    {
+        effect.hop.route->aim_left =
+            std::max(item.aim - current.now.monotonic, duration::zero());
+    }
     effect.head = item.head;
     effect.head.time_left = left - hop_margin(left);
     effect.timeout = left;
--- a/src/node/internal/upstream.cpp
+++ b/src/node/internal/upstream.cpp
@@ -19,7 +19,8 @@
     warm_connections effect;
     effect.upstream_address = upstream.address;
     effect.count = std::min(upstream.slots, upstream.connections);
-    effect.limit = upstream.connections;
+    effect.limit =
+        upstream.connections > 0 ? upstream.connections : upstream.slots * 2;
     current.out.push_back(std::move(effect));
     record(current,
            {},
@@ -51,6 +52,18 @@
     }
 }
 
+// True if the upstream is the same as before. A life that has a name states how
+// much of its cold start is left, which changes with every report.
+bool is_unchanged(std::optional<upstream_announcement> const& known,
+                  upstream_announcement fresh)
+{
+    if (known && !fresh.instance.empty())
+    {
+        fresh.cold_start = known->cold_start;
+    }
+    return known == fresh;
+}
+
 bool is_drained_by_operator(state const& node)
 {
     auto const& drained =
@@ -65,7 +78,7 @@
                          step& current)
 {
     upstream_announcement const& fresh = announced.announcement;
-    bool const is_known = node.lifecycle.upstream == fresh;
+    bool const is_known = is_unchanged(node.lifecycle.upstream, fresh);
     auto const change = lifecycle::announce(node.lifecycle, fresh);
     node.own_service = fresh.service;
     if (!is_known)
@@ -82,6 +95,60 @@
     apply(node, change, "upstream", current);
 }
 
+void follow_departures(state& node,
+                       departures::outcome const& ended,
+                       step& current)
+{
+    if (ended.is_leaving)
+    {
+        handle_drain(node, current);
+    }
+    if (ended.opened)
+    {
+        handle_announcement(node, upstream_announced{*ended.opened}, current);
+    }
+}
+
+void handle_report(state& node,
+                   upstream_reported const& reported,
+                   step& current)
+{
+    node.upstream_heard = current.now.monotonic;
+    follow_departures(
+        node,
+        departures::take_report(node.departures, reported, current),
+        current);
+}
+
+void note_upstream_lost(state& node, std::string_view why, step& current)
+{
+    if (!node.lifecycle.upstream || !node.own.has_routes)
+    {
+        return;
+    }
+    apply(node, lifecycle::remove_upstream(node.lifecycle), why, current);
+}
+
+std::optional<instant> upstream_deadline(state const& node)
+{
+    bool const is_watched = node.own.upstream_silence > duration::zero() &&
+                            node.lifecycle.upstream.has_value();
+    if (!is_watched)
+    {
+        return std::nullopt;
+    }
+    return node.upstream_heard + node.own.upstream_silence;
+}
+
+void watch_upstream(state& node, step& current)
+{
+    auto const deadline = upstream_deadline(node);
+    if (deadline && *deadline <= current.now.monotonic)
+    {
+        note_upstream_lost(node, "upstream-silent", current);
+    }
+}
+
 void handle_drain(state& node, step& current)
 {
     apply(node,
@@ -101,8 +168,10 @@
 void handle_stop(state& node, step& current)
 {
     bool const is_first = !node.lifecycle.is_stopping;
-    auto const change = lifecycle::stop(
-        node.lifecycle, node.own.stop_limit, current.now.monotonic);
+    auto const change =
+        lifecycle::stop(node.lifecycle,
+                        {node.own.stop_linger, node.own.stop_limit},
+                        current.now.monotonic);
     if (!is_first)
     {
         return;
@@ -112,13 +181,17 @@
     {
         membership::announce_draining(node.membership, current);
     }
-    once::hand_over(node.once, current);
+    if (node.own.takes_keys)
+    {
+        once::hand_over(node.once, current);
+    }
 }
 
 void follow_configuration(state& node, step& current)
 {
     membership::note_configuration(
         node.membership, configuration::current(node.configuration).revision);
+    membership::note_routes(node.membership, node.routes.in_force.version);
     bool const is_drained = is_drained_by_operator(node);
     if (is_drained == node.lifecycle.is_drained_by_operator)
     {
@@ -130,12 +203,37 @@
           current);
 }
 
+void follow_routes(state& node, step& current)
+{
+    bool const is_configured =
+        node.own.has_routes ? routes::is_ready(node.routes)
+                            : configuration::is_ready(node.configuration);
+    bool const is_ready = is_configured && !node.lifecycle.is_stopping;
+    if (is_ready != node.is_ready_told)
+    {
+        node.is_ready_told = is_ready;
+        current.out.push_back(tell_readiness{is_ready});
+        record(current,
+               {},
+               "lifecycle",
+               is_ready ? "ready" : "not-ready",
+               "routes_version=" +
+                   std::to_string(node.routes.in_force.version));
+    }
+    if (node.routes.in_force.version != node.told_routes_version)
+    {
+        node.told_routes_version = node.routes.in_force.version;
+        current.out.push_back(limit_callers{node.routes.in_force.limits});
+    }
+}
+
 // Members of other services can vouch, so the at-most-once protocol has to
 // learn of them too; the list of a large fleet is not made for every change.
 void follow_members(state& node, step& current)
 {
     std::uint64_t const version = membership::view_version(node.membership);
-    if (node.own_service.empty() || version == node.known_view_version)
+    if (!node.own.takes_keys || node.own_service.empty() ||
+        version == node.known_view_version)
     {
         return;
     }
@@ -169,7 +267,8 @@
     }
     lifecycle::open_work left;
     left.has_exchanges = !node.table.exchanges.empty();
-    left.are_keys_handed_over = once::is_handed_over(node.once);
+    left.are_keys_handed_over =
+        !node.own.takes_keys || once::is_handed_over(node.once);
     if (!lifecycle::ask_exit(node.lifecycle, left, current.now.monotonic))
     {
         return;
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -5,6 +5,7 @@
 #include "admission/source_throttle.hpp"
 #include "base/random.hpp"
 #include "configuration/configuration.hpp"
+#include "departures/departures.hpp"
 #include "lifecycle/lifecycle.hpp"
 #include "membership/membership.hpp"
 #include "messages/events.hpp"
@@ -14,6 +15,7 @@
 #include "once/once.hpp"
 #include "query/query.hpp"
 #include "retry/policy.hpp"
+#include "routes/routes.hpp"
 #include "routing/routing.hpp"
 #include "timeline/journal.hpp"
 
@@ -33,6 +35,20 @@
     std::uint64_t seed = 1;
     // Longest time a planned stop waits for requests in flight.
     duration stop_limit = std::chrono::seconds(60);
+    // A planned stop serves callers at least this long, so that they have been
+    // told elsewhere that the node is not ready.
+    duration stop_linger{};
+    // True if the operators' route table names services and terms.
+    bool has_routes = false;
+    // False if no caller sends idempotency keys: nothing is kept for them.
+    bool takes_keys = true;
+    // An upstream that has not reported for this long is gone; zero: never.
+    duration upstream_silence{};
+    // Repeats that this node may send.
+    retry::allowance retries;
+    // Repeats that the fleet may send at once beyond their share of the
+    // requests, divided among its nodes; zero: each node keeps its own.
+    double fleet_repeats = 0;
     // False turns every policy off: requests pass through with three blind
     // retries a hop. For comparison in measurements only.
     bool is_policy_enabled = true;
@@ -47,6 +63,8 @@
     timeline::hybrid_clock clock;
     membership::state membership;
     configuration::state configuration;
+    routes::state routes;
+    departures::state departures;
     once::state once;
     lifecycle::state lifecycle;
     admission::state admission;
@@ -64,9 +82,14 @@
     std::uint64_t known_view_version = 0;
     // When that protocol was last told of the whole fleet.
     instant fleet_told_at{};
+    // When the upstream last reported.
+    instant upstream_heard{};
     // The newest word of the upstream's health endpoint; decides nothing.
     health_hint health;
     bool is_started = false;
+    // What the callers' side was last told.
+    bool is_ready_told = false;
+    std::uint64_t told_routes_version = 0;
     bool is_upstream_told_to_drain = false;
     // The time last asked for with wake_at.
     instant asked_wake = instant::max();
--- a/src/retry/internal/policy.cpp
+++ b/src/retry/internal/policy.cpp
@@ -21,7 +21,9 @@
     {
         return found->second;
     }
-    return retries.buckets[std::string(service)];
+    token_bucket& fresh = retries.buckets[std::string(service)];
+    fresh.tokens = retries.own.initial;
+    return fresh;
 }
 
 bool is_final(refusal reason)
@@ -38,6 +40,7 @@
     case refusal::bad_request:
     case refusal::too_large:
     case refusal::caller_gone:
+    case refusal::no_route:
         return true;
     default:
         return false;
@@ -73,12 +76,19 @@
 
 void note_request(state& retries, std::string_view service)
 {
-    note_request(bucket_of(retries, service));
+    note_request(bucket_of(retries, service), retries.own);
 }
 
 retry_decision
 decide(state& retries, failed_sending const& failed, random_source& random)
 {
+    bool const is_free = failed.is_free_to_move &&
+                         failed.outcome == verdict::not_run &&
+                         failed.redirections_made < max_redirections;
+    if (is_free && failed.time_left >= min_useful_time)
+    {
+        return retry_decision{retry_kind::redirect, duration::zero()};
+    }
     if (failed.reason && is_final(*failed.reason))
     {
         return {};
--- a/src/retry/internal/token_bucket.cpp
+++ b/src/retry/internal/token_bucket.cpp
@@ -5,9 +5,9 @@
 namespace plantaintally::retry
 {
 
-void note_request(token_bucket& bucket)
+void note_request(token_bucket& bucket, allowance const& allowed)
 {
-    bucket.tokens = std::min(max_tokens, bucket.tokens + tokens_per_request);
+    bucket.tokens = std::min(allowed.most, bucket.tokens + allowed.per_request);
 }
 
 bool take_token(token_bucket& bucket)
--- a/src/retry/policy.hpp
+++ b/src/retry/policy.hpp
@@ -23,6 +23,9 @@
     std::optional<refusal> reason;
     bool is_idempotent = false;
     bool is_keyed = false;
+    // True if a node refused before any upstream was handed the request, and
+    // another member may still be tried in time.
+    bool is_free_to_move = false;
     // Retries left in the request's budget.
     std::uint32_t retries_left = 0;
     // Retries and free redirections made so far.
@@ -55,6 +58,7 @@
 // Token buckets of this node by service.
 struct state
 {
+    allowance own;
     std::map<std::string, token_bucket, std::less<>> buckets;
 };
 
--- /dev/null
+++ b/src/routes/internal/routes.cpp
@@ -0,0 +1,323 @@
+#include "routes/routes.hpp"
+
+#include "base/hash.hpp"
+#include "codec/route_table_codec.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace plantaintally::routes
+{
+
+namespace
+{
+
+// Longest wait of one watch; also bounds how long a cut that nothing shows
+// stays unnoticed.
+constexpr duration watch_limit = std::chrono::seconds(20);
+constexpr duration store_timeout = std::chrono::seconds(2);
+// Time between two calls while the service gives no answer.
+constexpr duration min_retry_delay = std::chrono::milliseconds(200);
+constexpr duration max_retry_delay = std::chrono::seconds(1);
+constexpr double retry_jitter = 0.3;
+// Time between two questions to peers while no table is in force.
+constexpr duration question_interval = std::chrono::milliseconds(250);
+// Nodes that watch the service; in a larger fleet the others hear of changes
+// from their peers.
+constexpr std::size_t max_watchers = 256;
+
+void index_rules(state& routes)
+{
+    routes.by_host.clear();
+    auto const& rules = routes.in_force.rules;
+    for (std::size_t index = 0; index < rules.size(); ++index)
+    {
+        routes.by_host[rules[index].host].push_back(index);
+    }
+    for (auto& [host, indexes] : routes.by_host)
+    {
+        std::ranges::stable_sort(
+            indexes,
+            [&](std::size_t left, std::size_t right)
+            { return rules[left].prefix.size() > rules[right].prefix.size(); });
+    }
+    std::erase_if(routes.splits,
+                  [&](auto const& entry)
+                  {
+                      return std::ranges::none_of(
+                          rules,
+                          [&](route_rule const& rule)
+                          { return rule.name == entry.first; });
+                  });
+}
+
+void adopt(state& routes,
+           route_table table,
+           std::string_view source,
+           step& current)
+{
+    if (routes.is_ready && table.version <= routes.in_force.version)
+    {
+        return;
+    }
+    std::uint64_t const before = routes.in_force.version;
+    routes.in_force = std::move(table);
+    routes.is_ready = true;
+    index_rules(routes);
+    record(current,
+           "",
+           "routes",
+           "in-force",
+           "version=" + std::to_string(routes.in_force.version) +
+               " before=" + std::to_string(before) +
+               " rules=" + std::to_string(routes.in_force.rules.size()) +
+               " by=" + std::string(source));
+}
+
+void take_entry(state& routes, store_entry const& entry, step& current)
+{
+    auto decoded = codec::decode_route_table(entry.value);
+    if (!decoded)
+    {
+        record(current,
+               "",
+               "routes",
+               "unreadable-table",
+               "revision=" + std::to_string(entry.revision) +
+                   " kept_version=" + std::to_string(routes.in_force.version));
+        return;
+    }
+    adopt(routes, std::move(decoded.value()), "store", current);
+}
+
+void begin_call(state& routes,
+                store_purpose purpose,
+                store_request request,
+                duration timeout,
+                step& current)
+{
+    auto const call = current.ids.next<store_call_id>();
+    routes.calls[call] = purpose;
+    current.out.push_back(
+        call_store{call, store_client::routes, std::move(request), timeout});
+}
+
+void read_store(state& routes, step& current)
+{
+    begin_call(routes,
+               store_purpose::read,
+               store_get{std::string(table_key)},
+               store_timeout,
+               current);
+}
+
+void watch_store(state& routes, step& current)
+{
+    begin_call(routes,
+               store_purpose::watch,
+               store_watch{std::string(table_key), routes.cursor, watch_limit},
+               watch_limit + store_timeout,
+               current);
+}
+
+void note_store_lost(state& routes, step& current)
+{
+    routes.retry_delay =
+        std::clamp(routes.retry_delay * 2, min_retry_delay, max_retry_delay);
+    routes.next_read =
+        current.now.monotonic +
+        draw_jittered(current.random, routes.retry_delay, retry_jitter);
+    if (!routes.store_lost_at)
+    {
+        routes.store_lost_at = current.now.monotonic;
+        record(current, "", "routes", "store-lost", {});
+    }
+}
+
+void note_store_answered(state& routes, std::uint64_t cursor, step& current)
+{
+    routes.retry_delay = {};
+    routes.next_read = current.now.monotonic;
+    routes.has_cursor = true;
+    routes.cursor = std::max(routes.cursor, cursor);
+    if (routes.store_lost_at)
+    {
+        auto const lost_for =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                current.now.monotonic - *routes.store_lost_at);
+        routes.store_lost_at.reset();
+        record(current,
+               "",
+               "routes",
+               "store-regained",
+               "lost_ms=" + std::to_string(lost_for.count()));
+    }
+}
+
+// Handles the result of either kind of call.
+struct result_visitor
+{
+    state& routes;
+    step& current;
+
+    void operator()(store_entry const& entry) const
+    {
+        take_entry(this->routes, entry, this->current);
+        note_store_answered(this->routes,
+                            std::max(entry.cursor, entry.revision),
+                            this->current);
+    }
+
+    void operator()(store_missing const& missing) const
+    {
+        note_store_answered(this->routes, missing.cursor, this->current);
+    }
+
+    void operator()(store_unchanged const& unchanged) const
+    {
+        note_store_answered(this->routes, unchanged.cursor, this->current);
+    }
+
+    // Changes may have been missed: the table is read anew.
+    void operator()(store_history_lost const&) const
+    {
+        this->routes.has_cursor = false;
+        this->routes.next_read = this->current.now.monotonic;
+        record(this->current, "", "routes", "history-lost", {});
+    }
+
+    template <class Other>
+    void operator()(Other const&) const
+    {
+        this->routes.has_cursor = false;
+        note_store_lost(this->routes, this->current);
+    }
+};
+
+// In a fleet of this size this node is one of those that watch the service.
+bool is_watcher(state const& routes, std::size_t member_count)
+{
+    if (!routes.is_ready || member_count <= max_watchers)
+    {
+        return true;
+    }
+    return stable_hash(routes.self.address) % member_count < max_watchers;
+}
+
+struct message_visitor
+{
+    state& routes;
+    node_id const& sender;
+    step& current;
+
+    void operator()(table_question const& asked) const
+    {
+        if (this->routes.is_ready &&
+            this->routes.in_force.version > asked.version)
+        {
+            this->current.out.push_back(
+                send_control{this->sender.address,
+                             message(table_update{this->routes.in_force})});
+        }
+    }
+
+    void operator()(table_update const& update) const
+    {
+        adopt(this->routes, update.table, "peer", this->current);
+    }
+};
+
+} // namespace
+
+void start(state& routes, step& current)
+{
+    if (!routes.is_enabled)
+    {
+        return;
+    }
+    routes.next_read = current.now.monotonic;
+    routes.next_question = current.now.monotonic + question_interval;
+}
+
+void handle_store(state& routes,
+                  store_call_id call,
+                  store_result const& result,
+                  step& current)
+{
+    if (routes.calls.erase(call) > 0)
+    {
+        std::visit(result_visitor{routes, current}, result);
+    }
+}
+
+void handle_message(state& routes,
+                    node_id const& sender,
+                    message const& received,
+                    step& current)
+{
+    std::visit(message_visitor{routes, sender, current}, received);
+}
+
+void handle_time(state& routes,
+                 std::span<std::string const> peers,
+                 std::size_t member_count,
+                 step& current)
+{
+    if (!routes.is_enabled)
+    {
+        return;
+    }
+    instant const now = current.now.monotonic;
+    if (!routes.is_ready && now >= routes.next_question)
+    {
+        routes.next_question = now + question_interval;
+        for (std::string const& peer : peers)
+        {
+            current.out.push_back(send_control{
+                peer, message(table_question{routes.in_force.version})});
+        }
+    }
+    if (!routes.calls.empty() || now < routes.next_read)
+    {
+        return;
+    }
+    if (!is_watcher(routes, member_count))
+    {
+        routes.next_read = now + watch_limit;
+        return;
+    }
+    routes.has_cursor ? watch_store(routes, current)
+                      : read_store(routes, current);
+}
+
+void note_peer_version(state& routes,
+                       std::string const& address,
+                       std::uint64_t version,
+                       step& current)
+{
+    if (routes.is_enabled && version > routes.in_force.version)
+    {
+        current.out.push_back(send_control{
+            address, message(table_question{routes.in_force.version})});
+    }
+}
+
+std::optional<instant> next_deadline(state const& routes)
+{
+    if (!routes.is_enabled)
+    {
+        return std::nullopt;
+    }
+    instant next = instant::max();
+    if (routes.calls.empty())
+    {
+        next = routes.next_read;
+    }
+    if (!routes.is_ready)
+    {
+        next = std::min(next, routes.next_question);
+    }
+    return next;
+}
+
+} // namespace plantaintally::routes
--- /dev/null
+++ b/src/routes/tests/routes_test.cpp
@@ -0,0 +1,224 @@
+#include "routes/routes.hpp"
+
+#include "codec/route_table_codec.hpp"
+
+#include <catch2/catch.hpp>
+
+#include <map>
+
+using namespace plantaintally;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+routes::route_rule rule_of(std::string name, std::string prefix)
+{
+    routes::route_rule rule;
+    rule.name = std::move(name);
+    rule.host = "a.example";
+    rule.prefix = std::move(prefix);
+    rule.targets = {{"board", 1}};
+    return rule;
+}
+
+routes::route_table table_of(std::uint64_t version)
+{
+    routes::route_table table;
+    table.version = version;
+    table.rules = {rule_of("all", "/x/"), rule_of("deep", "/x/y/")};
+    return table;
+}
+
+// One node's routes, with the effects of each step.
+struct bench
+{
+    routes::state routes;
+    random_source random{1};
+    id_source ids;
+    timeline::hybrid_clock clock;
+    effects out;
+    instant now{1000s};
+
+    bench()
+    {
+        this->routes.is_enabled = true;
+        this->routes.self.address = "10.0.0.1:7000";
+        auto current = this->step_at();
+        routes::start(this->routes, current);
+        this->advance(0s);
+    }
+
+    step step_at()
+    {
+        this->out.clear();
+        return {moment{this->now, {}},
+                this->random,
+                this->ids,
+                this->clock,
+                this->out};
+    }
+
+    void advance(duration span)
+    {
+        this->now += span;
+        std::vector<std::string> const peers{"10.0.0.2:7000"};
+        auto current = this->step_at();
+        routes::handle_time(this->routes, peers, 2, current);
+    }
+
+    // The call on the store that the last step made.
+    call_store const* call() const
+    {
+        for (effect const& each : this->out)
+        {
+            if (auto const* made = std::get_if<call_store>(&each))
+            {
+                return made;
+            }
+        }
+        return nullptr;
+    }
+
+    bool asks_peers() const
+    {
+        return std::any_of(
+            this->out.begin(),
+            this->out.end(),
+            [](effect const& each)
+            { return std::holds_alternative<send_control>(each); });
+    }
+
+    // Answers the call of the last step, and does what is due then.
+    void reply(store_result const& result)
+    {
+        auto const made = this->call()->call;
+        auto current = this->step_at();
+        routes::handle_store(this->routes, made, result, current);
+        this->advance(0s);
+    }
+
+    void reply_table(std::uint64_t version, std::uint64_t cursor)
+    {
+        this->reply(store_entry{std::string(routes::table_key),
+                                codec::encode_route_table(table_of(version)),
+                                cursor,
+                                cursor});
+    }
+};
+
+} // namespace
+
+TEST_CASE("the longest prefix of a host's rules is chosen")
+{
+    bench node;
+    node.reply_table(3, 10);
+    CHECK(routes::find_rule(node.routes, "a.example", "/x/y/1")->name ==
+          "deep");
+    CHECK(routes::find_rule(node.routes, "a.example", "/x/z")->name == "all");
+    CHECK(routes::find_rule(node.routes, "a.example", "/z") == nullptr);
+    CHECK(routes::find_rule(node.routes, "b.example", "/x/y/1") == nullptr);
+}
+
+TEST_CASE("any run of requests keeps to a split's weights")
+{
+    bench node;
+    routes::route_rule rule = rule_of("split", "/s/");
+    rule.targets = {{"board", 90}, {"desk", 10}};
+    std::map<std::string, int> seen;
+    for (int count = 0; count < 100; ++count)
+    {
+        ++seen[routes::choose_service(node.routes, rule)];
+    }
+    CHECK(seen["board"] == 90);
+    CHECK(seen["desk"] == 10);
+}
+
+TEST_CASE("after the first reading the store is watched from where it was read")
+{
+    bench node;
+    node.reply_table(3, 10);
+    REQUIRE(node.call() != nullptr);
+    auto const& watch = std::get<store_watch>(node.call()->request);
+    CHECK(watch.after_revision == 10);
+    node.reply(store_unchanged{25});
+    CHECK(std::get<store_watch>(node.call()->request).after_revision == 25);
+}
+
+TEST_CASE("a lost history is followed by a new reading")
+{
+    bench node;
+    node.reply_table(3, 10);
+    node.reply(store_history_lost{});
+    REQUIRE(node.call() != nullptr);
+    CHECK(std::holds_alternative<store_get>(node.call()->request));
+}
+
+TEST_CASE("the table never goes back to an older version")
+{
+    bench node;
+    node.reply_table(5, 10);
+    node.reply_table(4, 11);
+    CHECK(node.routes.in_force.version == 5);
+    auto current = node.step_at();
+    routes::handle_message(node.routes,
+                           {"10.0.0.2:7000", 1},
+                           routes::table_update{table_of(3)},
+                           current);
+    CHECK(node.routes.in_force.version == 5);
+}
+
+TEST_CASE("a table that can't be read leaves the one in force")
+{
+    bench node;
+    node.reply_table(5, 10);
+    node.reply(store_entry{std::string(routes::table_key), "{", 11, 11});
+    CHECK(node.routes.in_force.version == 5);
+    CHECK(routes::is_ready(node.routes));
+}
+
+TEST_CASE("without the store a new node takes the table of a peer")
+{
+    bench node;
+    node.reply(store_unavailable{false});
+    CHECK_FALSE(routes::is_ready(node.routes));
+    node.advance(300ms);
+    CHECK(node.asks_peers());
+    auto current = node.step_at();
+    routes::handle_message(node.routes,
+                           {"10.0.0.2:7000", 1},
+                           routes::table_update{table_of(3)},
+                           current);
+    CHECK(routes::is_ready(node.routes));
+}
+
+TEST_CASE("a peer with a newer version is asked for its table")
+{
+    bench node;
+    node.reply_table(3, 10);
+    auto current = node.step_at();
+    routes::note_peer_version(node.routes, "10.0.0.2:7000", 3, current);
+    CHECK_FALSE(node.asks_peers());
+    routes::note_peer_version(node.routes, "10.0.0.2:7000", 4, current);
+    CHECK(node.asks_peers());
+}
+
+TEST_CASE("calls on a store that gives no answer are spaced out")
+{
+    bench node;
+    int calls = 0;
+    for (int count = 0; count < 500; ++count)
+    {
+        if (node.call() != nullptr)
+        {
+            ++calls;
+            node.reply(store_unavailable{true});
+        }
+        else
+        {
+            node.advance(10ms);
+        }
+    }
+    CHECK(calls <= 15);
+    CHECK(calls >= 3);
+}
--- a/src/settings/internal/rule_builders.hpp
+++ b/src/settings/internal/rule_builders.hpp
@@ -111,6 +111,63 @@
         std::move(section), std::move(key), std::string(allowed), true, assign};
 }
 
+// A rule for an address that may be left out.
+template <class Field>
+setting_rule optional_address(std::string section,
+                              std::string key,
+                              std::string_view allowed,
+                              Field at)
+{
+    auto assign = [at](node_settings& target, std::string_view text)
+    {
+        if (text.empty())
+        {
+            return std::string();
+        }
+        auto parsed = parse_endpoint(text);
+        if (!parsed)
+        {
+            return "'" + std::string(text) + "': " + parsed.error().message;
+        }
+        at(target) = std::move(parsed.value());
+        return std::string();
+    };
+    return {std::move(section),
+            std::move(key),
+            std::string(allowed) + ", or nothing",
+            false,
+            assign};
+}
+
+// A rule for a number that may have a fraction, from zero to `highest`.
+template <class Field>
+setting_rule
+decimal(std::string section, std::string key, double highest, Field at)
+{
+    auto assign = [highest, at](node_settings& target, std::string_view text)
+    {
+        double value = 0;
+        auto const* const end = text.data() + text.size();
+        auto const [stopped, problem] =
+            std::from_chars(text.data(), end, value);
+        if (problem != std::errc() || stopped != end)
+        {
+            return "'" + std::string(text) + "' is no number";
+        }
+        if (!(value >= 0 && value <= highest))
+        {
+            return std::string(text) + " is out of range";
+        }
+        at(target) = value;
+        return std::string();
+    };
+    return {std::move(section),
+            std::move(key),
+            "a number from 0 to " + std::to_string(highest),
+            false,
+            assign};
+}
+
 // A rule for one of several words; the word's index is the value.
 template <std::size_t N, class Set>
 setting_rule word(std::string section,
--- a/src/settings/internal/setting_rules.cpp
+++ b/src/settings/internal/setting_rules.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <cstdint>
 #include <limits>
+#include <optional>
 #include <utility>
 
 namespace plantaintally::settings
@@ -146,6 +147,83 @@
                          {0, hour_ms},
                          [](node_settings& target) -> milliseconds&
                          { return target.node.stop_limit; }));
+    rules.push_back(time("node",
+                         "stop_linger_ms",
+                         {0, hour_ms},
+                         [](node_settings& target) -> milliseconds&
+                         { return target.node.stop_linger; }));
+    rules.push_back(word("node",
+                         "idempotency_keys",
+                         std::to_array<std::string_view>({"on", "off"}),
+                         [](node_settings& target, std::size_t index)
+                         { target.node.takes_keys = index == 0; }));
+}
+
+std::string assign_service(node_settings& target, std::string_view text)
+{
+    if (!text.empty() && !is_name(text))
+    {
+        return "'" + std::string(text) + "' is no name";
+    }
+    target.edge.service = std::string(text);
+    return {};
+}
+
+using optional_endpoint = std::optional<endpoint>;
+
+void add_edge_rules(std::vector<setting_rule>& rules)
+{
+    rules.push_back(
+        word("edge",
+             "dialect",
+             std::to_array<std::string_view>({"native", "platform"}),
+             [](node_settings& target, std::size_t index)
+             { target.edge.dialect = static_cast<dialect_name>(index); }));
+    rules.push_back({"edge",
+                     "service",
+                     "1 to 64 letters, digits, '-', '_' or '.', or nothing",
+                     false,
+                     assign_service});
+    rules.push_back(
+        optional_address("edge",
+                         "report_address",
+                         address_allowed,
+                         [](node_settings& target) -> optional_endpoint&
+                         { return target.edge.report_address; }));
+    rules.push_back(
+        optional_address("edge",
+                         "ready_address",
+                         address_allowed,
+                         [](node_settings& target) -> optional_endpoint&
+                         { return target.edge.ready_address; }));
+    rules.push_back(
+        optional_address("edge",
+                         "metrics_address",
+                         address_allowed,
+                         [](node_settings& target) -> optional_endpoint&
+                         { return target.edge.metrics_address; }));
+    rules.push_back(time("edge",
+                         "upstream_silence_ms",
+                         {0, hour_ms},
+                         [](node_settings& target) -> milliseconds&
+                         { return target.edge.upstream_silence; }));
+    rules.push_back(word("routes",
+                         "source",
+                         std::to_array<std::string_view>({"none", "store"}),
+                         [](node_settings& target, std::size_t index) {
+                             target.routes.source =
+                                 static_cast<route_source>(index);
+                         }));
+    rules.push_back(decimal("retry",
+                            "budget_ratio",
+                            1,
+                            [](node_settings& target) -> double&
+                            { return target.retry.budget_ratio; }));
+    rules.push_back(decimal("retry",
+                            "budget_extra",
+                            1e9,
+                            [](node_settings& target) -> double&
+                            { return target.retry.budget_extra; }));
 }
 
 void add_platform_rules(std::vector<setting_rule>& rules)
@@ -241,6 +319,12 @@
                          "file",
                          [](node_settings& target) -> std::string&
                          { return target.log.file; }));
+    rules.push_back(word("log",
+                         "stream",
+                         std::to_array<std::string_view>({"stderr", "stdout"}),
+                         [](node_settings& target, std::size_t index) {
+                             target.log.stream = static_cast<log_stream>(index);
+                         }));
     rules.push_back(path("trace",
                          "file",
                          [](node_settings& target) -> std::string&
@@ -256,6 +340,7 @@
 {
     std::vector<setting_rule> rules;
     add_node_rules(rules);
+    add_edge_rules(rules);
     add_platform_rules(rules);
     add_limit_rules(rules);
     add_other_rules(rules);
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -242,9 +242,34 @@
     {
         return fail(errc::invalid_input, problem);
     }
+    for (auto const& line : file.lines)
+    {
+        target.stated[qualified(line.section, line.key)] =
+            std::string(line.value);
+    }
     return target;
 }
 
+std::string changed_keys(node_settings const& before,
+                         node_settings const& after)
+{
+    std::string list;
+    for (std::string const& name : known_keys())
+    {
+        auto const old = before.stated.find(name);
+        auto const fresh = after.stated.find(name);
+        bool const was_stated = old != before.stated.end();
+        bool const is_stated = fresh != after.stated.end();
+        bool const is_same = was_stated == is_stated &&
+                             (!is_stated || old->second == fresh->second);
+        if (!is_same)
+        {
+            list += (list.empty() ? "" : ",") + name;
+        }
+    }
+    return list;
+}
+
 result<node_settings> load_settings(std::string const& file_name)
 {
     std::ifstream input(file_name, std::ios::binary);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -5,6 +5,8 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -45,6 +47,56 @@
     std::uint64_t seed = 0;
     // Longest time that a planned stop waits for requests in flight.
     milliseconds stop_limit{60'000};
+    // Shortest time that a planned stop goes on serving callers.
+    milliseconds stop_linger{0};
+    // False: no caller sends idempotency keys, and nothing is kept for them.
+    bool takes_keys = true;
+};
+
+// How callers, the upstream and the platform's service spell what they say.
+enum class dialect_name
+{
+    native,
+    platform
+};
+
+// Section [edge]: the outside of the node in a deployment that has a dialect
+// of its own.
+struct edge_section
+{
+    dialect_name dialect = dialect_name::native;
+    // The service that callers are taken for; empty: they go by their address.
+    std::string service;
+    // Where the upstream reports, readiness is asked for, and metrics are read.
+    std::optional<endpoint> report_address;
+    std::optional<endpoint> ready_address;
+    std::optional<endpoint> metrics_address;
+    // An upstream that has not reported for this long is gone; zero: never.
+    milliseconds upstream_silence{0};
+};
+
+// Where services and terms of requests come from.
+enum class route_source
+{
+    // The authority of a request names its service.
+    none,
+    // The route table at the platform's service.
+    store
+};
+
+// Section [routes].
+struct routes_section
+{
+    route_source source = route_source::none;
+};
+
+// Section [retry]: the repeats that the whole fleet may send to a service.
+struct retry_section
+{
+    // Share of the service's requests.
+    double budget_ratio = 0.1;
+    // Repeats beyond the share in a window; zero: each node has its own.
+    double budget_extra = 0;
 };
 
 // Section [platform]: the platform's key-value service.
@@ -92,13 +144,20 @@
     error
 };
 
+enum class log_stream
+{
+    standard_error,
+    standard_output
+};
+
 // Section [log].
 struct log_section
 {
     log_format format = log_format::plain;
     log_level level = log_level::info;
-    // Empty: standard error.
+    // Empty: the stream.
     std::string file;
+    log_stream stream = log_stream::standard_error;
 };
 
 // Section [trace]: recording of the reducer's events.
@@ -117,11 +176,16 @@
 struct node_settings
 {
     node_section node;
+    edge_section edge;
+    routes_section routes;
+    retry_section retry;
     platform_section platform;
     limits_section limits;
     log_section log;
     trace_section trace;
     measure_section measure;
+    // Values as they stand in the file, by "section.key".
+    std::map<std::string, std::string> stated;
 };
 
 // The settings of the text, or the first fault as one line:
@@ -132,6 +196,10 @@
 // The settings of a file, or why there are none; also if it can't be read.
 result<node_settings> load_settings(std::string const& file_name);
 
+// The keys whose values differ, separated by commas.
+std::string changed_keys(node_settings const& before,
+                         node_settings const& after);
+
 // Every known key as "section.key", in the order of the documentation.
 std::vector<std::string> known_keys();
 
--- a/src/settings/tests/settings_test.cpp
+++ b/src/settings/tests/settings_test.cpp
@@ -97,11 +97,14 @@
           "node.ini:8: platform.address: key stands twice; "
           "allowed: IP:PORT with a port from 1 to 65535");
     CHECK(problem_of(least + "[lmits]\n") ==
-          "node.ini:8: lmits: unknown section; allowed: node, platform, "
-          "limits, log, trace, measure, each once");
-    CHECK(problem_of(least + "[node]\n") ==
-          "node.ini:8: node: section stands twice; allowed: node, platform, "
+          "node.ini:8: lmits: unknown section; allowed: node, edge, routes, "
+          "retry, platform, "
           "limits, log, trace, measure, each once");
+    CHECK(
+        problem_of(least + "[node]\n") ==
+        "node.ini:8: node: section stands twice; allowed: node, edge, routes, "
+        "retry, platform, "
+        "limits, log, trace, measure, each once");
     CHECK(problem_of(node_lines) ==
           "node.ini:1: platform.address: missing section [platform]; "
           "allowed: IP:PORT with a port from 1 to 65535");
--- a/tools/cmake/dependencies.cmake
+++ b/tools/cmake/dependencies.cmake
@@ -1,10 +1,12 @@
 # Third-party libraries, each under one target name of ours.
 find_package(Threads REQUIRED)
 find_package(Boost 1.81 REQUIRED)
-find_package(Catch2 2 REQUIRED)
 find_package(nng CONFIG REQUIRED)
 find_package(prometheus-cpp CONFIG REQUIRED)
-find_package(rapidcheck CONFIG REQUIRED)
+if(PLANTAINTALLY_TESTS)
+    find_package(Catch2 2 REQUIRED)
+    find_package(rapidcheck CONFIG REQUIRED)
+endif()
 
 add_library(plantaintally_options INTERFACE)
 target_compile_options(
@@ -18,4 +20,4 @@
               BOOST_BEAST_SEPARATE_COMPILATION SPDLOG_FMT_EXTERNAL
               SPDLOG_COMPILED_LIB)
 target_include_directories(plantaintally_options
-                           INTERFACE "${CMAKE_SOURCE_DIR}/src")
+                           INTERFACE "${CMAKE_SOURCE_DIR}/src" "${CMAKE_SOURCE_DIR}")
