Watch callers by reading ahead; fewer entries a request in the time line

Cause: each request cost an epoll_ctl and two peeks for the watch of its caller, and four entries in the time line that said what their neighbours said.

--- a/src/drivers/internal/connection_pool.cpp
+++ b/src/drivers/internal/connection_pool.cpp
@@ -1,9 +1,9 @@
 #include "drivers/internal/connection_pool.hpp"
 
+#include "drivers/internal/peek.hpp"
 #include "drivers/internal/silence.hpp"
 #include "settings/settings.hpp"
 
-#include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -21,12 +21,7 @@
 // sent something that nobody asked for.
 bool is_usable(tcp::socket& socket)
 {
-    char next = 0;
-    error_code problem;
-    socket.non_blocking(true, problem);
-    socket.receive(asio::buffer(&next, 1), tcp::socket::message_peek, problem);
-    return problem == asio::error::would_block ||
-           problem == asio::error::try_again;
+    return peek(socket) == peeked::nothing;
 }
 
 result<tcp::endpoint> to_endpoint(std::string const& address)
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -453,6 +453,10 @@
             each->close_if_idle();
         }
     }
+    if (this->on_ending)
+    {
+        this->on_ending();
+    }
 }
 
 std::size_t engine::busy_sessions() const
--- a/src/drivers/internal/engine.hpp
+++ b/src/drivers/internal/engine.hpp
@@ -48,6 +48,8 @@
     void request_stop();
     // True once the reducer has asked for the end and every answer is written.
     [[nodiscard]] bool is_finished() const;
+    // Called once, when the reducer asks for the end.
+    std::function<void()> on_ending;
     // Ends everything that is still open.
     void close();
 
--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "drivers/internal/request_reader.hpp"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
@@ -122,20 +123,25 @@
     co_return problem;
 }
 
-bool request_reader::read_ahead()
+void request_reader::read_ahead(std::function<void(error_code)> taken)
 {
     std::size_t const room = std::min(
         this->buffer.max_size() - this->buffer.size(), first_read_bytes);
     if (room == 0)
     {
-        return false;
+        asio::post(this->socket.get_executor(),
+                   [taken = std::move(taken)]
+                   { taken(asio::error::no_buffer_space); });
+        return;
     }
-    error_code problem;
-    auto const count =
-        this->socket.read_some(this->buffer.prepare(room), problem);
-    this->buffer.commit(count);
-    this->byte_count += count;
-    return !problem;
+    this->socket.async_read_some(
+        this->buffer.prepare(room),
+        [this, taken = std::move(taken)](error_code problem, std::size_t count)
+        {
+            this->buffer.commit(count);
+            this->byte_count += count;
+            taken(problem);
+        });
 }
 
 asio::awaitable<read_result> request_reader::read()
--- a/src/drivers/internal/request_reader.hpp
+++ b/src/drivers/internal/request_reader.hpp
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string_view>
 #include <variant>
 
@@ -52,9 +53,10 @@
                    read_limits const& bounds);
 
     asio::awaitable<read_result> read();
-    // Takes in what has come of further requests, without waiting; false if
-    // there is no room for it.
-    bool read_ahead();
+    // Takes in what comes of further requests while one is being answered, and
+    // then hands in how that ended; no_buffer_space if there is no room left.
+    // Nothing else may be read meanwhile.
+    void read_ahead(std::function<void(error_code)> taken);
 
     // True while no byte of a next request has been read.
     [[nodiscard]] bool is_idle() const;
--- a/src/drivers/internal/runtime.cpp
+++ b/src/drivers/internal/runtime.cpp
@@ -22,7 +22,7 @@
 // One thread does all I/O; others only post to it.
 constexpr int one_io_thread = BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO;
 
-// How often the end is looked for once it may have come.
+// How often it is looked whether the last answers are written.
 constexpr auto end_check_interval = std::chrono::milliseconds(20);
 
 } // namespace
@@ -51,7 +51,7 @@
     void run()
     {
         this->await_signal();
-        this->await_end();
+        this->driven->on_ending = [this] { this->await_end(); };
         asio::post(this->io, [this] { this->driven->start(); });
         this->io.run();
         this->driven->close();
--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -1,9 +1,11 @@
 #include "drivers/internal/session.hpp"
 
 #include "drivers/internal/arrival.hpp"
+#include "drivers/internal/peek.hpp"
 #include "drivers/internal/response_writer.hpp"
 
-#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
 
@@ -26,19 +28,6 @@
     return problem ? std::string() : remote.address().to_string();
 }
 
-// True if the other side has closed its sending direction.
-bool is_closed(tcp::socket& socket)
-{
-    char next = 0;
-    error_code problem;
-    socket.non_blocking(true, problem);
-    auto const count = socket.receive(
-        asio::buffer(&next, 1), tcp::socket::message_peek, problem);
-    bool const is_open = problem == asio::error::would_block ||
-                         problem == asio::error::try_again;
-    return !is_open && (problem || count == 0);
-}
-
 // The refusal of an input that could not be read; nothing if nobody listens.
 std::optional<refused_answer> refusal_of(read_failure failure)
 {
@@ -173,7 +162,7 @@
     bool const is_head = request.method == "HEAD";
     bool const is_keep_alive = request.is_keep_alive;
     // Read late: nobody waits for it any more, and it need not run.
-    if (is_closed(this->socket))
+    if (peek(this->socket) == peeked::end)
     {
         this->services.figures.add({"requests_read_too_late_total",
                                     "listener",
@@ -197,35 +186,36 @@
 
 asio::awaitable<exchange_reply> session::await_reply(exchange_id id)
 {
-    auto const is_watching = std::make_shared<bool>(true);
-    this->watch_caller(id, is_watching);
+    caller_watch watch{id};
+    this->watch_caller(watch);
     auto reply = co_await this->services.exchanges.wait(id);
-    *is_watching = false;
-    error_code ignored;
-    this->socket.cancel(ignored);
+    watch.is_wanted = false;
+    while (watch.is_reading)
+    {
+        error_code ignored;
+        this->socket.cancel(ignored);
+        co_await asio::post(this->socket.get_executor(), asio::use_awaitable);
+    }
     co_return reply;
 }
 
-void session::watch_caller(exchange_id id, std::shared_ptr<bool> is_watching)
+void session::watch_caller(caller_watch& watch)
 {
-    this->socket.async_wait(
-        tcp::socket::wait_read,
-        [this, id, is_watching = std::move(is_watching)](error_code problem)
+    watch.is_reading = true;
+    this->reader.read_ahead(
+        [this, &watch](error_code problem)
         {
-            if (problem || !*is_watching)
+            watch.is_reading = false;
+            if (!watch.is_wanted || problem == asio::error::no_buffer_space ||
+                problem == asio::error::operation_aborted)
             {
                 return;
             }
-            if (is_closed(this->socket))
-            {
-                return this->note_caller_gone(id);
-            }
-            // The beginning of a further request: it is taken in, so that the
-            // end of the connection behind it is seen.
-            if (this->reader.read_ahead())
+            if (problem)
             {
-                this->watch_caller(id, is_watching);
+                return this->note_caller_gone(watch.id);
             }
+            this->watch_caller(watch);
         });
 }
 
--- a/src/drivers/internal/session.hpp
+++ b/src/drivers/internal/session.hpp
@@ -89,7 +89,14 @@
                                       bool is_keep_alive);
     asio::awaitable<bool> write(outgoing_answer content);
     asio::awaitable<void> refuse_input(read_failure failure);
-    void watch_caller(exchange_id id, std::shared_ptr<bool> is_watching);
+    // Looks out for the end of the connection while a request is answered.
+    struct caller_watch
+    {
+        exchange_id id;
+        bool is_wanted = true;
+        bool is_reading = false;
+    };
+    void watch_caller(caller_watch& watch);
     void note_caller_gone(exchange_id id);
     void count_input(std::string_view reason);
     [[nodiscard]] arrival_origin origin() const;
--- a/src/node/internal/admit.cpp
+++ b/src/node/internal/admit.cpp
@@ -131,7 +131,12 @@
            "admission",
            "dispatched",
            "attempt=" + std::to_string(sent.id.value) +
-               " waited_us=" + std::to_string(waited.count()));
+               " rank=" + item.hop.rank +
+               " waited_us=" + std::to_string(waited.count()) +
+               " left_us=" + std::to_string(left.count()) +
+               " in_flight=" + std::to_string(node.admission.in_flight) +
+               " limit=" + std::to_string(admission::allowed(
+                   node.admission.limit, current.now.monotonic)));
 }
 
 void serve_queue(state& node, step& current)
--- a/src/node/internal/answer.cpp
+++ b/src/node/internal/answer.cpp
@@ -33,6 +33,18 @@
                                              : may_have_run_status;
 }
 
+std::string took(exchange const& item, step const& current)
+{
+    return std::to_string((current.now.monotonic - item.arrived_at).count());
+}
+
+// The text as the value of a field in a time line entry.
+std::string in_one_word(std::string text)
+{
+    std::replace(text.begin(), text.end(), ' ', '-');
+    return text;
+}
+
 void answer_whole(state& node,
                   exchange& item,
                   sending_outcome const& ended,
@@ -49,7 +61,9 @@
            "node",
            "answered",
            "verdict=" + std::string(to_string(ended.outcome)) +
-               " attempts=" + std::to_string(item.executions));
+               " status=" + std::to_string(ended.status) +
+               " attempts=" + std::to_string(item.executions) +
+               " took_us=" + took(item, current));
 }
 
 void answer_with_refusal(state& node,
@@ -59,7 +73,8 @@
 {
     refuse_request effect;
     effect.exchange = item.id;
-    effect.status = status_of(ended);
+    std::uint32_t const effect_status = status_of(ended);
+    effect.status = effect_status;
     effect.detail = ended.detail;
     effect.report = make_report(node, item, ended, current);
     current.out.push_back(std::move(effect));
@@ -71,7 +86,12 @@
            ended.reason == refusal::shed_at_source ? "shed-at-source"
                                                    : "refused",
            "reason=" + std::string(reason) +
-               " verdict=" + std::string(to_string(ended.outcome)));
+               " verdict=" + std::string(to_string(ended.outcome)) +
+               " status=" + std::to_string(effect_status) +
+               " level=" + std::to_string(ended.level) +
+               " tried=" + std::to_string(item.tried.size()) +
+               " took_us=" + took(item, current) + " detail=" +
+               in_one_word(ended.detail));
 }
 
 } // namespace
--- a/src/node/internal/arrive.cpp
+++ b/src/node/internal/arrive.cpp
@@ -148,17 +148,6 @@
     return true;
 }
 
-void note_arrival(state& node, exchange const& item, step& current)
-{
-    count(node, item, count_kind::arrived, {}, current);
-    record(current,
-           item.head.trace_id,
-           "node",
-           "arrived",
-           "service=" + item.head.service + " rank=" + item.hop.rank +
-               " depth=" + std::to_string(item.hop.depth));
-}
-
 } // namespace
 
 void handle_arrival(state& node, request_arrived const& arrived, step& current)
@@ -171,7 +160,7 @@
     bool const is_routed = node.own.has_routes && is_origin(item);
     bool const has_route = !is_routed || take_route(node, item);
     set_timer(node.table, item, item.deadline);
-    note_arrival(node, item, current);
+    count(node, item, count_kind::arrived, {}, current);
     if (!has_route)
     {
         return refuse_without_route(node, item, current);
--- a/src/node/internal/attempt.cpp
+++ b/src/node/internal/attempt.cpp
@@ -300,12 +300,6 @@
         return;
     }
     sending const sent = take_sending(node, *item);
-    record(current,
-           item->head.trace_id,
-           "node",
-           "attempt-answered",
-           "attempt=" + std::to_string(answered.attempt.value) +
-               " status=" + std::to_string(answered.status));
     if (sent.peer.empty())
     {
         return handle_upstream_answer(node, *item, sent, answered, current);
--- a/src/node/internal/route.cpp
+++ b/src/node/internal/route.cpp
@@ -135,6 +135,35 @@
     node.retries.own.most = std::max(1.0, node.own.fleet_repeats / members);
 }
 
+// The choice of a member with what it rested on: the route table's version, and
+// the member's load with its age.
+void record_forwarding(state& node,
+                       exchange const& item,
+                       std::string const& address,
+                       step& current)
+{
+    auto const known = node.routing.peers.find(address);
+    std::string load = "unknown";
+    if (known != node.routing.peers.end() &&
+        known->second.load_seen > instant{})
+    {
+        auto const age = current.now.monotonic - known->second.load_seen;
+        load = std::to_string(known->second.load_permille) +
+               " load_age_us=" + std::to_string(age.count());
+    }
+    record(current,
+           item.head.trace_id,
+           "routing",
+           "forwarded",
+           "to=" + address +
+               " attempt=" + std::to_string(item.under_way->id.value) +
+               " service=" + item.head.service + " rank=" + item.hop.rank +
+               " routes_version=" +
+               std::to_string(node.routes.in_force.version) +
+               " tried=" + std::to_string(item.tried.size()) +
+               " load=" + load);
+}
+
 bool is_refused_while_stopping(state const& node, exchange const& item)
 {
     return node.lifecycle.is_stopping &&
@@ -242,12 +271,7 @@
     effect.timeout = left;
     current.out.push_back(std::move(effect));
     routing::note_sent(node.routing, address);
-    record(current,
-           item.head.trace_id,
-           "routing",
-           "forwarded",
-           "to=" + address + " attempt=" + std::to_string(sent.id.value) +
-               " retries=" + std::to_string(split.passed));
+    record_forwarding(node, item, address, current);
 }
 
 void delegate_execution(state& node, exchange& item, step& current)
