--- a/apps/plantaintallyd/main.cpp
+++ b/apps/plantaintallyd/main.cpp
@@ -68,6 +68,7 @@
     own.takes_keys = chosen.node.takes_keys;
     own.has_routes = chosen.routes.source == settings::route_source::store;
     own.upstream_silence = chosen.edge.upstream_silence;
+    own.configuration_poll = chosen.platform.poll_interval;
     if (chosen.retry.budget_extra > 0)
     {
         // Half of what is allowed: repeats deep in a chain cause others.
--- a/src/configuration/internal/relay.cpp
+++ b/src/configuration/internal/relay.cpp
@@ -17,10 +17,8 @@
 constexpr std::size_t relays_per_zone = 2;
 constexpr duration lease_lifetime = std::chrono::seconds(10);
 constexpr duration renewal_interval = std::chrono::seconds(3);
-// Time between two polls, and the time that the service holds one open. The
-// short hold lets each poll name the newest revision that has come by gossip,
+// The time that the service holds a poll open. The short hold lets each poll name the newest revision that has come by gossip,
 // so that the document is fetched only if gossip has missed it.
-constexpr duration poll_interval = std::chrono::seconds(1);
 constexpr duration poll_hold = std::chrono::milliseconds(50);
 constexpr duration max_poll_interval = std::chrono::seconds(10);
 // Time until a node first looks for a free slot, at most, and then between two
@@ -154,7 +152,9 @@
 {
     relay& own = configuration.own_relay;
     duration const interval =
-        configuration.is_store_down ? max_poll_interval : poll_interval;
+        configuration.is_store_down
+            ? std::max(max_poll_interval, configuration.poll_interval)
+            : configuration.poll_interval;
     own.next_poll = current.now.monotonic +
                     draw_jittered(current.random, interval, period_jitter);
     store_watch watch;
--- a/src/configuration/state.hpp
+++ b/src/configuration/state.hpp
@@ -71,6 +71,8 @@
     node_id self;
     std::string availability_zone;
     document in_force;
+    // Time between two polls of a relay.
+    duration poll_interval = std::chrono::seconds(1);
 
     bool is_started = false;
     bool is_ready = false;
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -25,6 +25,8 @@
 // Least time between the reducer's end and the process's, in which the last
 // control messages leave.
 constexpr auto farewell_time = std::chrono::milliseconds(100);
+// Time that answers still being written have after the limit of the stop.
+constexpr auto last_writing_time = std::chrono::milliseconds(300);
 // Room in a client's buffer for the part of an answer read with its headers.
 constexpr std::size_t answer_buffer_bytes = 64U << 10U;
 
@@ -162,6 +164,7 @@
     {
         return;
     }
+    this->stop_requested_at = std::chrono::steady_clock::now();
     logging::write({logging::level::info, "drivers", "stop-requested", {}});
     this->set_stopping();
     this->hand_in(stop_requested{});
@@ -175,7 +178,10 @@
     }
     auto const waited = std::chrono::steady_clock::now() - this->ending_since;
     bool const is_quiet = this->busy_sessions() == 0 && waited > farewell_time;
-    return is_quiet || waited > this->chosen.limits.write_timeout;
+    auto const stopping =
+        std::chrono::steady_clock::now() - this->stop_requested_at;
+    return is_quiet || waited > this->chosen.limits.write_timeout ||
+           stopping > this->chosen.node.stop_limit + last_writing_time;
 }
 
 void engine::close()
--- a/src/drivers/internal/engine.hpp
+++ b/src/drivers/internal/engine.hpp
@@ -111,6 +111,7 @@
     bool is_reducing = false;
     bool is_stop_requested = false;
     bool is_ending = false;
+    std::chrono::steady_clock::time_point stop_requested_at;
     std::chrono::steady_clock::time_point ending_since;
     std::uint64_t last_trace = 0;
 
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -307,6 +307,7 @@
     node.membership.own.availability_zone = own.availability_zone;
     node.membership.own.contacts = own.contacts;
     node.configuration.self = own.self;
+    node.configuration.poll_interval = own.configuration_poll;
     node.configuration.availability_zone = own.availability_zone;
     node.configuration.in_force = configuration::default_document();
     node.routes.self = own.self;
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -44,6 +44,8 @@
     bool takes_keys = true;
     // An upstream that has not reported for this long is gone; zero: never.
     duration upstream_silence{};
+    // Time between two polls for changes of the ranks by a relay.
+    duration configuration_poll = std::chrono::seconds(1);
     // Repeats that this node may send.
     retry::allowance retries;
     // Repeats that the fleet may send at once beyond their share of the
--- a/src/settings/internal/setting_rules.cpp
+++ b/src/settings/internal/setting_rules.cpp
@@ -238,6 +238,11 @@
                          {1, hour_ms},
                          [](node_settings& target) -> milliseconds&
                          { return target.platform.timeout; }));
+    rules.push_back(time("platform",
+                         "poll_interval_ms",
+                         {1, hour_ms},
+                         [](node_settings& target) -> milliseconds&
+                         { return target.platform.poll_interval; }));
     rules.push_back(number("platform",
                            "max_connections",
                            {1, connection_bound},
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -106,6 +106,8 @@
     // Longest time for a call; watches wait longer by their own limit.
     milliseconds timeout{2'000};
     std::uint32_t max_connections = 8;
+    // Time between two polls for changes of the ranks, by a relay.
+    milliseconds poll_interval{1'000};
 };
 
 // Section [limits]: bounds on everything that others send.
--- a/src/settings/tests/settings_test.cpp
+++ b/src/settings/tests/settings_test.cpp
@@ -92,7 +92,7 @@
           "out of range; allowed: a whole number from 1 to 100000");
     CHECK(problem_of(least + "colour = red\n") ==
           "node.ini:8: platform.colour: unknown key; "
-          "allowed: address, timeout_ms, max_connections");
+          "allowed: address, timeout_ms, poll_interval_ms, max_connections");
     CHECK(problem_of(least + "address = 10.0.0.9:2379\n") ==
           "node.ini:8: platform.address: key stands twice; "
           "allowed: IP:PORT with a port from 1 to 65535");
