--- a/src/lifecycle/internal/lifecycle.cpp
+++ b/src/lifecycle/internal/lifecycle.cpp
@@ -68,6 +68,11 @@
     return compare(was_open, lifecycle);
 }
 
+bool refuses_callers(state const& lifecycle, instant now)
+{
+    return lifecycle.is_stopping && now >= lifecycle.stop_earliest;
+}
+
 bool ask_exit(state& lifecycle, open_work const& left, instant now)
 {
     if (!lifecycle.is_stopping || lifecycle.is_exit_asked)
--- a/src/lifecycle/lifecycle.hpp
+++ b/src/lifecycle/lifecycle.hpp
@@ -57,6 +57,10 @@
 // A planned stop; a second request changes nothing.
 transition stop(state& lifecycle, stop_times const& times, instant now);
 
+// True once a stopping node takes no more requests of callers: those that it
+// has are to end before the stop does.
+bool refuses_callers(state const& lifecycle, instant now);
+
 // What a stopping node still has to do.
 struct open_work
 {
--- a/src/lifecycle/tests/lifecycle_test.cpp
+++ b/src/lifecycle/tests/lifecycle_test.cpp
@@ -25,6 +25,19 @@
     CHECK(lifecycle::announce(life, {}) == lifecycle::transition::none);
 }
 
+TEST_CASE("a stop serves callers for a while, then only what it has")
+{
+    lifecycle::state life = serving();
+    instant const now{100s};
+    lifecycle::stop(life, {3s, 5s}, now);
+    CHECK_FALSE(lifecycle::refuses_callers(life, now + 2s));
+    CHECK(lifecycle::next_deadline(life, now) == now + 3s);
+    CHECK_FALSE(lifecycle::ask_exit(life, {false, true}, now + 2s));
+    CHECK(lifecycle::refuses_callers(life, now + 3s));
+    CHECK_FALSE(lifecycle::ask_exit(life, {true, true}, now + 3s));
+    CHECK(lifecycle::ask_exit(life, {true, true}, now + 5s));
+}
+
 TEST_CASE("an operator's drain outlasts the upstream's announcement")
 {
     lifecycle::state life = serving();
--- a/src/node/internal/route.cpp
+++ b/src/node/internal/route.cpp
@@ -163,18 +163,21 @@
             " tried=" + std::to_string(item.tried.size()) + " load=" + load);
 }
 
-bool is_refused_while_stopping(state const& node, exchange const& item)
+bool is_refused_while_stopping(state const& node,
+                               exchange const& item,
+                               instant now)
 {
-    return node.lifecycle.is_stopping &&
-           item.source == request_source::caller && !is_keyed(item) &&
-           !item.hop.route;
+    return lifecycle::refuses_callers(node.lifecycle, now) &&
+           item.source == request_source::caller && !is_keyed(item);
 }
 
 } // namespace
 
 void route_request(state& node, exchange& item, step& current)
 {
-    if (is_refused_while_stopping(node, item) && item.retries_made == 0)
+    bool const is_first = item.retries_made + item.redirections_made == 0;
+    if (is_first &&
+        is_refused_while_stopping(node, item, current.now.monotonic))
     {
         return refuse(
             node, item, refusal::draining, "the node is stopping", current);
@@ -188,7 +191,7 @@
     {
         return refuse_unrouted(node, item, routing::route_kind::none, current);
     }
-    if (item.retries_made + item.redirections_made == 0)
+    if (is_first)
     {
         share_repeats(node);
         retry::note_request(node.retries, item.head.service);
--- a/src/routing/internal/choose.cpp
+++ b/src/routing/internal/choose.cpp
@@ -8,8 +8,9 @@
 namespace
 {
 
-// A member of the own zone above this load competes with the other zones.
-constexpr std::uint32_t spill_over_permille = 800;
+// A member of the own zone above this load competes with the other zones: all
+// that it may run at a time is in use.
+constexpr std::uint32_t spill_over_permille = 1000;
 // Load that one request of this node in flight stands for, at one slot.
 constexpr std::uint32_t permille_per_slot = 1000;
 // After this time a load report counts for nothing.
@@ -97,9 +98,12 @@
         return 0;
     }
     std::uint32_t const slots = std::max(member.slots, 1U);
-    std::uint32_t const own = view->in_flight * permille_per_slot / slots;
     bool const is_fresh = view->load_seen + load_lifetime > now;
-    return own + (is_fresh ? view->load_permille : 0);
+    if (!is_fresh)
+    {
+        return view->in_flight * permille_per_slot / slots;
+    }
+    return view->load_permille + view->sent_since * permille_per_slot / slots;
 }
 
 membership::member_record const* less_loaded(state const& routing,
--- a/src/routing/internal/observe.cpp
+++ b/src/routing/internal/observe.cpp
@@ -90,12 +90,15 @@
     peer_view& view = view_of(routing, address);
     view.load_permille = report.load_permille;
     view.load_seen = now;
+    view.sent_since = 0;
     note_level(view, rank, report.admission_level, random, now);
 }
 
 void note_sent(state& routing, std::string_view address)
 {
-    ++view_of(routing, address).in_flight;
+    peer_view& view = view_of(routing, address);
+    ++view.in_flight;
+    ++view.sent_since;
 }
 
 void note_report(state& routing,
@@ -112,6 +115,7 @@
     view.is_ejected = false;
     view.load_permille = report.load_permille;
     view.load_seen = now;
+    view.sent_since = 0;
     view.draining_until =
         report.is_draining ? now + draining_lifetime : instant{};
     note_level(view, rank, report.admission_level, random, now);
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -32,6 +32,8 @@
     std::uint32_t load_permille = 0;
     instant load_seen{};
     std::uint32_t in_flight = 0;
+    // Requests sent since the load was told, which it doesn't count.
+    std::uint32_t sent_since = 0;
     // Failures since the last whole answer.
     std::uint32_t failures = 0;
     // Times that the node was ejected without recovering since.
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -59,6 +59,29 @@
         "a:1");
 }
 
+TEST_CASE("what a member has in hand for this node counts once in its load")
+{
+    routing::state peers;
+    random_source random(3);
+    auto const members = three_zones();
+    instant const now{1s};
+    // Nine of ten slots in use, by requests of this node.
+    for (int sent = 0; sent < 9; ++sent)
+    {
+        routing::note_sent(peers, "a:1");
+    }
+    hop_report loaded;
+    loaded.load_permille = 900;
+    routing::note_report(peers, "a:1", "browsing", loaded, random, now);
+    CHECK(
+        routing::choose(peers, members, from_zone("z1", now), random).address ==
+        "a:1");
+    routing::note_sent(peers, "a:1");
+    CHECK(
+        routing::choose(peers, members, from_zone("z1", now), random).address !=
+        "a:1");
+}
+
 TEST_CASE("a node that answers that it drains gets nothing from then on")
 {
     routing::state peers;
