Work on pipelined requests at once and answer them in order

Change: one side of a connection reads and hands in, up to 16 requests at a time; the other writes the answers in order. Reading on is also the watch for callers that go.

--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -1,11 +1,9 @@
 #include "drivers/internal/request_reader.hpp"
 
-#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
-#include <algorithm>
 #include <utility>
 
 namespace plantaintally::drivers
@@ -123,33 +121,16 @@
     co_return problem;
 }
 
-void request_reader::read_ahead(std::function<void(error_code)> taken)
-{
-    std::size_t const room = std::min(
-        this->buffer.max_size() - this->buffer.size(), first_read_bytes);
-    if (room == 0)
-    {
-        asio::post(this->socket.get_executor(),
-                   [taken = std::move(taken)]
-                   { taken(asio::error::no_buffer_space); });
-        return;
-    }
-    this->socket.async_read_some(
-        this->buffer.prepare(room),
-        [this, taken = std::move(taken)](error_code problem, std::size_t count)
-        {
-            this->buffer.commit(count);
-            this->byte_count += count;
-            taken(problem);
-        });
-}
-
-asio::awaitable<read_result> request_reader::read()
+asio::awaitable<read_result> request_reader::read(bool is_idle_limited)
 {
     this->is_between_requests = this->buffer.size() == 0;
     if (this->is_between_requests)
     {
-        this->guard.arm(this->limits.idle_timeout);
+        this->guard.disarm();
+        if (is_idle_limited)
+        {
+            this->limit_idle();
+        }
         auto const problem = co_await this->read_first_bytes();
         if (problem)
         {
@@ -163,6 +144,14 @@
     co_return message;
 }
 
+void request_reader::limit_idle()
+{
+    if (this->is_between_requests)
+    {
+        this->guard.arm(this->limits.idle_timeout);
+    }
+}
+
 asio::awaitable<read_result> request_reader::read_message()
 {
     parser source;
--- a/src/drivers/internal/request_reader.hpp
+++ b/src/drivers/internal/request_reader.hpp
@@ -8,7 +8,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstdint>
-#include <functional>
 #include <string_view>
 #include <variant>
 
@@ -52,11 +51,11 @@
                    deadline_guard& guarding,
                    read_limits const& bounds);
 
-    asio::awaitable<read_result> read();
-    // Takes in what comes of further requests while one is being answered, and
-    // then hands in how that ended; no_buffer_space if there is no room left.
-    // Nothing else may be read meanwhile.
-    void read_ahead(std::function<void(error_code)> taken);
+    // The next request. `is_idle_limited`: the connection ends if nothing comes
+    // for the idle time; else only from limit_idle() on.
+    asio::awaitable<read_result> read(bool is_idle_limited);
+    // Nothing is left to answer: from now on the idle time counts.
+    void limit_idle();
 
     // True while no byte of a next request has been read.
     [[nodiscard]] bool is_idle() const;
--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -4,7 +4,8 @@
 #include "drivers/internal/peek.hpp"
 #include "drivers/internal/response_writer.hpp"
 
-#include <boost/asio/post.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <utility>
@@ -21,6 +22,10 @@
 constexpr std::uint32_t header_fields_too_large = 431;
 constexpr std::uint32_t service_unavailable = 503;
 
+// Requests of one connection that are worked on at a time; further ones wait in
+// the connection.
+constexpr std::size_t max_pending_answers = 16;
+
 std::string address_of(tcp::socket const& socket)
 {
     error_code problem;
@@ -63,9 +68,10 @@
 } // namespace
 
 session::session(tcp::socket accepted, session_services& shared)
-    : services(shared), socket(std::move(accepted)), guard(this->socket),
-      reader(this->socket, this->guard, shared.limits),
-      remote_ip(address_of(this->socket))
+    : services(shared), socket(std::move(accepted)), read_guard(this->socket),
+      write_guard(this->socket),
+      reader(this->socket, this->read_guard, shared.limits),
+      remote_ip(address_of(this->socket)), changed(this->socket.get_executor())
 {
     this->services.open_sessions.insert(this);
 }
@@ -77,26 +83,9 @@
 
 asio::awaitable<void> session::serve()
 {
-    bool is_kept = true;
-    while (is_kept)
-    {
-        auto read = co_await this->reader.read();
-        this->services.figures.add(
-            {"received_bytes_total",
-             "listener",
-             this->services.listener_name,
-             {},
-             {}},
-            static_cast<double>(this->reader.take_byte_count()));
-        if (auto const* const failure = std::get_if<read_failure>(&read))
-        {
-            co_await this->refuse_input(*failure);
-            break;
-        }
-        is_kept = co_await this->serve_request(
-            std::move(std::get<incoming_request>(read)));
-    }
-    co_await close_gracefully(this->socket, this->guard);
+    using namespace asio::experimental::awaitable_operators;
+    co_await (this->read_requests() && this->write_answers());
+    co_await close_gracefully(this->socket, this->write_guard);
 }
 
 asio::awaitable<void> session::refuse_connection()
@@ -108,59 +97,132 @@
                                      this->services.make_trace_id()};
     exchange_reply const reply = std::move(refused);
     co_await this->write_reply(recipient, reply, false, false);
-    co_await close_gracefully(this->socket, this->guard);
+    co_await close_gracefully(this->socket, this->write_guard);
 }
 
 void session::close_if_idle()
 {
-    if (this->reader.is_idle())
+    if (this->reader.is_idle() && this->pending.empty())
     {
         error_code ignored;
         this->socket.cancel(ignored);
     }
 }
 
-asio::awaitable<bool> session::serve_request(incoming_request request)
+asio::awaitable<void> session::read_requests()
 {
+    bool is_last = false;
+    while (!this->is_closing)
+    {
+        if (this->pending.size() >= max_pending_answers)
+        {
+            co_await this->wait_for_change();
+            continue;
+        }
+        auto read = co_await this->reader.read(this->pending.empty());
+        this->services.figures.add(
+            {"received_bytes_total",
+             "listener",
+             this->services.listener_name,
+             {},
+             {}},
+            static_cast<double>(this->reader.take_byte_count()));
+        if (auto const* const failure = std::get_if<read_failure>(&read))
+        {
+            this->refuse_input(*failure);
+            break;
+        }
+        // After a request that ends the connection only its end is awaited.
+        if (!is_last)
+        {
+            auto& request = std::get<incoming_request>(read);
+            is_last = !request.is_keep_alive;
+            this->add_pending(co_await this->take_request(std::move(request)));
+        }
+    }
+    this->is_reading_over = true;
+    this->changed.cancel();
+}
+
+asio::awaitable<void> session::write_answers()
+{
+    while (!this->is_closing)
+    {
+        if (this->pending.empty() && this->is_reading_over)
+        {
+            break;
+        }
+        if (this->pending.empty())
+        {
+            co_await this->wait_for_change();
+            continue;
+        }
+        bool const is_kept =
+            co_await this->write_pending(this->pending.front());
+        this->pending.pop_front();
+        this->is_closing = !is_kept;
+        this->changed.cancel();
+        if (this->pending.empty())
+        {
+            this->reader.limit_idle();
+        }
+    }
+    this->is_closing = true;
+    this->abandon_pending();
+    for (pending_answer const& left : std::exchange(this->pending, {}))
+    {
+        if (auto const* const id = std::get_if<exchange_id>(&left.content))
+        {
+            co_await this->services.exchanges.wait(*id);
+        }
+    }
+    error_code ignored;
+    this->socket.cancel(ignored);
+}
+
+asio::awaitable<void> session::wait_for_change()
+{
+    error_code ignored;
+    this->changed.expires_at(asio::steady_timer::time_point::max());
+    co_await this->changed.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+void session::add_pending(pending_answer answered)
+{
+    this->pending.push_back(std::move(answered));
+    this->changed.cancel();
+}
+
+asio::awaitable<session::pending_answer>
+session::take_request(incoming_request request)
+{
+    pending_answer taken;
+    taken.recipient.source = this->services.source;
+    taken.is_head = request.method == "HEAD";
+    taken.is_keep_alive = request.is_keep_alive;
     if (this->services.answer_locally)
     {
         auto answered = co_await this->services.answer_locally(request);
         if (answered)
         {
-            outgoing_answer content;
-            content.status = answered->status;
-            content.headers.push_back({"Content-Type", answered->media_type});
-            content.body = answered->body;
-            content.is_head = request.method == "HEAD";
-            content.is_keep_alive = request.is_keep_alive;
-            co_return co_await this->write(std::move(content));
+            taken.content = std::move(*answered);
+            co_return taken;
         }
     }
     bool const is_caller = this->services.source == request_source::caller;
     auto arrived =
         is_caller ? this->services.spoken.read_request(request, this->origin())
                   : parse_arrival(request, this->origin());
-    if (arrived)
+    if (!arrived)
     {
-        co_return co_await this->serve_exchange(std::move(request),
-                                                std::move(arrived.value()));
+        this->count_input("bad-head");
+        taken.recipient.trace_id = this->services.make_trace_id();
+        taken.content = exchange_reply(drivers::refuse_input(
+            bad_request, refusal::bad_request, arrived.error().message));
+        co_return taken;
     }
-    this->count_input("bad-head");
-    answer_recipient const recipient{this->services.source,
-                                     this->services.make_trace_id()};
-    exchange_reply const reply = drivers::refuse_input(
-        bad_request, refusal::bad_request, arrived.error().message);
-    co_return co_await this->write_reply(
-        recipient, reply, request.method == "HEAD", request.is_keep_alive);
-}
-
-asio::awaitable<bool> session::serve_exchange(incoming_request request,
-                                              arrival arrived)
-{
-    answer_recipient const recipient{this->services.source,
-                                     arrived.head.trace_id};
-    bool const is_head = request.method == "HEAD";
-    bool const is_keep_alive = request.is_keep_alive;
+    taken.recipient.trace_id = arrived.value().head.trace_id;
     // Read late: nobody waits for it any more, and it need not run.
     if (peek(this->socket) == peeked::end)
     {
@@ -169,65 +231,67 @@
                                     this->services.listener_name,
                                     {},
                                     {}});
-        co_return false;
+        taken.content = exchange_reply(abandoned{});
+        co_return taken;
     }
     auto const id = this->services.exchanges.open(
-        {arrived.head,
-         std::move(arrived.passed_headers),
+        {arrived.value().head,
+         std::move(arrived.value().passed_headers),
          std::make_shared<std::string const>(std::move(request.body))});
     this->services.hand_in(request_arrived{id,
                                            this->services.source,
-                                           std::move(arrived.head),
-                                           std::move(arrived.hop)});
-    auto const reply = co_await this->await_reply(id);
-    co_return co_await this->write_reply(
-        recipient, reply, is_head, is_keep_alive);
+                                           std::move(arrived.value().head),
+                                           std::move(arrived.value().hop)});
+    taken.content = id;
+    co_return taken;
 }
 
-asio::awaitable<exchange_reply> session::await_reply(exchange_id id)
+asio::awaitable<bool> session::write_pending(pending_answer const& answered)
 {
-    caller_watch watch{id};
-    this->watch_caller(watch);
-    auto reply = co_await this->services.exchanges.wait(id);
-    watch.is_wanted = false;
-    while (watch.is_reading)
+    bool const is_kept = answered.is_keep_alive;
+    if (auto const* const made = std::get_if<local_answer>(&answered.content))
     {
-        error_code ignored;
-        this->socket.cancel(ignored);
-        co_await asio::post(this->socket.get_executor(), asio::use_awaitable);
+        outgoing_answer content;
+        content.status = made->status;
+        content.headers.push_back({"Content-Type", made->media_type});
+        content.body = made->body;
+        content.is_head = answered.is_head;
+        content.is_keep_alive = is_kept;
+        co_return co_await this->write(std::move(content));
     }
-    co_return reply;
+    if (auto const* const reply =
+            std::get_if<exchange_reply>(&answered.content))
+    {
+        co_return co_await this->write_reply(
+            answered.recipient, *reply, answered.is_head, is_kept);
+    }
+    auto const reply = co_await this->services.exchanges.wait(
+        std::get<exchange_id>(answered.content));
+    co_return co_await this->write_reply(
+        answered.recipient, reply, answered.is_head, is_kept);
 }
 
-void session::watch_caller(caller_watch& watch)
+void session::abandon_pending()
 {
-    watch.is_reading = true;
-    this->reader.read_ahead(
-        [this, &watch](error_code problem)
+    if (std::exchange(this->is_abandoned, true))
+    {
+        return;
+    }
+    for (pending_answer const& left : this->pending)
+    {
+        auto const* const id = std::get_if<exchange_id>(&left.content);
+        if (id == nullptr)
         {
-            watch.is_reading = false;
-            if (!watch.is_wanted || problem == asio::error::no_buffer_space ||
-                problem == asio::error::operation_aborted)
-            {
-                return;
-            }
-            if (problem)
-            {
-                return this->note_caller_gone(watch.id);
-            }
-            this->watch_caller(watch);
-        });
-}
-
-void session::note_caller_gone(exchange_id id)
-{
-    this->services.figures.add({"requests_abandoned_total",
-                                "listener",
-                                this->services.listener_name,
-                                {},
-                                {}});
-    this->services.hand_in(caller_gone{id});
-    this->services.exchanges.abandon(id);
+            continue;
+        }
+        this->services.figures.add({"requests_abandoned_total",
+                                    "listener",
+                                    this->services.listener_name,
+                                    {},
+                                    {}});
+        this->services.hand_in(caller_gone{*id});
+        this->services.exchanges.abandon(*id);
+    }
 }
 
 asio::awaitable<bool> session::write_reply(answer_recipient const& recipient,
@@ -268,10 +332,12 @@
 
 asio::awaitable<bool> session::write(outgoing_answer content)
 {
+    // A stopping node ends the connection with the last answer it owes there.
+    bool const is_last = this->pending.size() <= 1;
     content.is_keep_alive =
-        content.is_keep_alive && !this->services.is_stopping;
+        content.is_keep_alive && !(this->services.is_stopping && is_last);
     auto const count = co_await write_answer(
-        this->socket, this->guard, this->services.write_timeout, content);
+        this->socket, this->write_guard, this->services.write_timeout, content);
     figure_name const sent{
         "sent_bytes_total", "listener", this->services.listener_name, {}, {}};
     this->services.figures.add(sent, static_cast<double>(count));
@@ -286,22 +352,28 @@
     co_return count != 0 && content.is_keep_alive;
 }
 
-asio::awaitable<void> session::refuse_input(read_failure failure)
+void session::refuse_input(read_failure failure)
 {
-    if (failure == read_failure::closed || failure == read_failure::idle)
+    if (failure == read_failure::closed)
     {
-        co_return;
+        return this->abandon_pending();
+    }
+    if (failure == read_failure::idle)
+    {
+        return;
     }
     this->count_input(to_string(failure));
     auto refused = refusal_of(failure);
     if (!refused)
     {
-        co_return;
+        return this->abandon_pending();
     }
-    answer_recipient const recipient{this->services.source,
-                                     this->services.make_trace_id()};
-    exchange_reply const reply = std::move(*refused);
-    co_await this->write_reply(recipient, reply, false, false);
+    pending_answer answered;
+    answered.recipient = {this->services.source,
+                          this->services.make_trace_id()};
+    answered.content = exchange_reply(std::move(*refused));
+    answered.is_keep_alive = false;
+    this->add_pending(std::move(answered));
 }
 
 void session::count_input(std::string_view reason)
--- a/src/drivers/internal/session.hpp
+++ b/src/drivers/internal/session.hpp
@@ -1,5 +1,6 @@
-// One connection of a caller, a peer or the local upstream: its requests in
-// turn, each answered before the next is read.
+// One connection of a caller, a peer or the local upstream. Requests that come
+// before earlier ones are answered are worked on at once; the answers go out in
+// the order of the requests.
 #pragma once
 
 #include "drivers/dialect.hpp"
@@ -10,11 +11,14 @@
 #include "drivers/internal/request_reader.hpp"
 #include "messages/events.hpp"
 
+#include <boost/asio/steady_timer.hpp>
+
+#include <deque>
 #include <functional>
-#include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <variant>
 
 namespace plantaintally::drivers
 {
@@ -73,31 +77,45 @@
     void close_if_idle();
 
 private:
+    // A request whose answer is not written yet: in hand at the reducer, or
+    // answered already.
+    struct pending_answer
+    {
+        answer_recipient recipient;
+        std::variant<exchange_id, exchange_reply, local_answer> content;
+        bool is_head = false;
+        bool is_keep_alive = true;
+    };
+
     session_services& services;
     tcp::socket socket;
-    deadline_guard guard;
+    deadline_guard read_guard;
+    deadline_guard write_guard;
     request_reader reader;
     std::string remote_ip;
+    // In the order of the requests; the first is being answered.
+    std::deque<pending_answer> pending;
+    // Ends a wait of the reading or the writing side.
+    asio::steady_timer changed;
+    bool is_reading_over = false;
+    bool is_closing = false;
+    bool is_abandoned = false;
 
-    asio::awaitable<bool> serve_request(incoming_request request);
-    asio::awaitable<bool> serve_exchange(incoming_request request,
-                                         arrival arrived);
-    asio::awaitable<exchange_reply> await_reply(exchange_id id);
+    asio::awaitable<void> read_requests();
+    asio::awaitable<void> write_answers();
+    // Waits until the other side has done something.
+    asio::awaitable<void> wait_for_change();
+    asio::awaitable<pending_answer> take_request(incoming_request request);
+    asio::awaitable<bool> write_pending(pending_answer const& answered);
+    void add_pending(pending_answer answered);
+    // The caller has gone: nobody waits for the pending answers.
+    void abandon_pending();
     asio::awaitable<bool> write_reply(answer_recipient const& recipient,
                                       exchange_reply const& reply,
                                       bool is_head,
                                       bool is_keep_alive);
     asio::awaitable<bool> write(outgoing_answer content);
-    asio::awaitable<void> refuse_input(read_failure failure);
-    // Looks out for the end of the connection while a request is answered.
-    struct caller_watch
-    {
-        exchange_id id;
-        bool is_wanted = true;
-        bool is_reading = false;
-    };
-    void watch_caller(caller_watch& watch);
-    void note_caller_gone(exchange_id id);
+    void refuse_input(read_failure failure);
     void count_input(std::string_view reason);
     [[nodiscard]] arrival_origin origin() const;
 };
--- a/src/drivers/tests/listener_test.cpp
+++ b/src/drivers/tests/listener_test.cpp
@@ -91,6 +91,45 @@
     CHECK(node.count<request_arrived>() == 3);
 }
 
+TEST_CASE("pipelined requests are worked on at once and answered in order")
+{
+    // Refuses the requests only when both are there, the second one first.
+    std::vector<exchange_id> arrived;
+    driven_node node(
+        [&](event const& happened) -> effects
+        {
+            auto const* const request = std::get_if<request_arrived>(&happened);
+            if (request == nullptr)
+            {
+                return {};
+            }
+            arrived.push_back(request->exchange);
+            if (arrived.size() < 2)
+            {
+                return {};
+            }
+            return {refuse_request{arrived[1], 503, "second", {}},
+                    refuse_request{arrived[0], 503, "first", {}}};
+        });
+    test_connection connection(node.caller_address());
+    connection.write(std::string(plain_request) + std::string(plain_request));
+    CHECK(body_of(connection.read_message()).find("first") !=
+          std::string::npos);
+    CHECK(body_of(connection.read_message()).find("second") !=
+          std::string::npos);
+}
+
+TEST_CASE("every pipelined request of a caller that closes is reported")
+{
+    driven_node node([](event const&) { return effects(); });
+    test_connection connection(node.caller_address());
+    connection.write(std::string(plain_request) + std::string(plain_request));
+    node.wait_for<request_arrived>(2);
+    connection.reset();
+    node.wait_for<caller_gone>(2);
+    CHECK(node.count<caller_gone>() == 2);
+}
+
 TEST_CASE("malformed input is refused, counted, and reaches no decision")
 {
     driven_node node(refuse_all,
