--- a/src/departures/internal/departures.cpp
+++ b/src/departures/internal/departures.cpp
@@ -250,7 +250,7 @@
             remember(departures.left, life);
         }
     }
-    outcome const ended = open_waiting(departures, current);
+    outcome ended = open_waiting(departures, current);
     advance(departures, current);
     return ended;
 }
