--- a/spec/departures.pml
+++ b/spec/departures.pml
@@ -33,7 +33,6 @@
 byte waiting = 0;
 bool has_looked = false;
 bool is_unrecorded = false;
-bool is_revision_known = false;
 byte asking = 0;
 
 /* The highest birth whose leaving was acknowledged. */
@@ -113,7 +112,6 @@
     atomic {
         is_store_up && !has_looked ->
             has_looked = true;
-            is_revision_known = true;
             left = (recorded > left -> recorded : left);
             if
             :: waiting != 0 && waiting > left -> open = waiting
@@ -144,7 +142,7 @@
 {
     atomic {
         left = 0; present = 0; open = 0; waiting = 0; asking = 0;
-        has_looked = false; is_unrecorded = false; is_revision_known = false
+        has_looked = false; is_unrecorded = false;
     }
 }
 
--- a/src/codec/internal/hop_headers.cpp
+++ b/src/codec/internal/hop_headers.cpp
@@ -81,8 +81,7 @@
     {
         route_terms terms;
         read_element(source, 8, terms.is_repeatable);
-        read_element(source, 9, terms.max_attempts);
-        read_element(source, 10, terms.aim_left);
+        read_element(source, 9, terms.aim_left);
         hop.route = terms;
     }
 }
@@ -98,11 +97,10 @@
     read_element(source, 4, report.retries_left);
     read_element(source, 5, report.admission_level);
     read_element(source, 6, report.load_permille);
-    read_element(source, 7, report.failure_permille);
-    read_element(source, 8, report.retry_after);
-    read_element(source, 9, report.sent_at.wall_us);
-    read_element(source, 10, report.sent_at.counter);
-    read_element(source, 11, report.key_home);
+    read_element(source, 7, report.retry_after);
+    read_element(source, 8, report.sent_at.wall_us);
+    read_element(source, 9, report.sent_at.counter);
+    read_element(source, 10, report.key_home);
     report.has_reached_upstream = (bits & reached_bit) != 0;
     report.is_draining = (bits & draining_bit) != 0;
 }
@@ -156,7 +154,6 @@
     if (hop.route)
     {
         fields.push_back(hop.route->is_repeatable);
-        fields.push_back(hop.route->max_attempts);
         fields.push_back(hop.route->aim_left.count());
     }
     return to_header(hop_header, fields);
@@ -174,7 +171,6 @@
                                report.retries_left,
                                report.admission_level,
                                report.load_permille,
-                               report.failure_permille,
                                report.retry_after.count(),
                                report.sent_at.wall_us,
                                report.sent_at.counter});
--- a/src/codec/internal/request_json.hpp
+++ b/src/codec/internal/request_json.hpp
@@ -51,8 +51,7 @@
                    body_bytes)
 PLANTAINTALLY_ENUM(upstream_phase, "ready", "draining", "gone")
 PLANTAINTALLY_JSON(upstream_life, "upstream_life", instance, born_ms, sequence)
-PLANTAINTALLY_JSON(
-    route_terms, "route_terms", is_repeatable, max_attempts, aim_left)
+PLANTAINTALLY_JSON(route_terms, "route_terms", is_repeatable, aim_left)
 PLANTAINTALLY_JSON(hop_context,
                    "hop_context",
                    service,
@@ -74,7 +73,6 @@
                    retries_left,
                    admission_level,
                    load_permille,
-                   failure_permille,
                    is_draining,
                    key_home,
                    retry_after,
--- a/src/codec/tests/hop_headers_test.cpp
+++ b/src/codec/tests/hop_headers_test.cpp
@@ -31,7 +31,7 @@
             hop.service = *rc::gen::element<std::string>("desk", "");
             if (*rc::gen::arbitrary<bool>())
             {
-                hop.route = route_terms{*rc::gen::arbitrary<bool>(), 2, {}};
+                hop.route = route_terms{*rc::gen::arbitrary<bool>(), {}};
             }
             hop.sent_at = {*rc::gen::arbitrary<std::int64_t>(), 3};
             auto const read = decode_one(codec::encode_hop_context(hop));
@@ -49,7 +49,6 @@
     report.retry_after = duration(1'500'000);
     report.is_draining = true;
     report.has_reached_upstream = true;
-    report.failure_permille = 17;
     std::vector<header_field> const headers{codec::encode_hop_report(report)};
     auto const read = codec::decode_hop_report(headers);
     REQUIRE(read.has_value());
@@ -59,7 +58,7 @@
 TEST_CASE("header names are compared without case and others are ignored")
 {
     std::vector<header_field> const headers{
-        {"plantaintally-hop", R"(["","",0,2,0,0,0,0,true,1,0,"newer"])"},
+        {"plantaintally-hop", R"(["","",0,2,0,0,0,0,true,0,"newer"])"},
         {"Plantaintally-Hop-Newer-Header", "[1]"},
         {"Host", "not json"}};
     auto const read = codec::decode_hop_context(headers);
--- a/src/codec/tests/trace_codec_test.cpp
+++ b/src/codec/tests/trace_codec_test.cpp
@@ -33,7 +33,7 @@
     hop.rank = "booking";
     hop.is_probe = true;
     hop.service = "bookings";
-    hop.route = route_terms{true, 2, duration(7)};
+    hop.route = route_terms{true, duration(7)};
     once::message const asked = once::epoch_question{"bookings/0", 3};
     return {request_arrived{{4}, request_source::peer, sample_head(), hop},
             request_arrived{{5}, request_source::caller, {}, std::nullopt},
--- a/src/drivers/tests/listener_test.cpp
+++ b/src/drivers/tests/listener_test.cpp
@@ -57,7 +57,7 @@
                             "GET /rota HTTP/1.1\r\nHost: rota-board\r\n"
                             "Plantaintally-Hop: [\"\",\"\",9]\r\n\r\n");
     CHECK(header_of(answer, "Plantaintally-Report") ==
-          R"(["not-run","overload",0,2,0,0,0,0,1200000,0,0])");
+          R"(["not-run","overload",0,2,0,0,0,1200000,0,0])");
     auto const arrived = node.wait_for<request_arrived>();
     CHECK(arrived.source == request_source::peer);
     REQUIRE(arrived.hop);
--- a/src/messages/request_types.hpp
+++ b/src/messages/request_types.hpp
@@ -47,8 +47,6 @@
 {
     // True if the request may run more than once.
     bool is_repeatable = false;
-    // Upstreams that the request may be sent to, the first one included.
-    std::uint32_t max_attempts = 1;
     // Time left until an answer earns less than its full worth.
     duration aim_left{};
 
@@ -101,8 +99,6 @@
     std::uint32_t admission_level = 0;
     // Requests running and queued at the node, in thousandths of its limit.
     std::uint32_t load_permille = 0;
-    // Requests that the upstream failed or refused lately, in thousandths.
-    std::uint32_t failure_permille = 0;
     bool is_draining = false;
     // With reason not_key_home: the address of the home in the sender's epoch.
     std::string key_home;
--- a/src/node/internal/answer.cpp
+++ b/src/node/internal/answer.cpp
@@ -88,7 +88,7 @@
            "reason=" + std::string(reason) +
                " verdict=" + std::string(to_string(ended.outcome)) +
                " status=" + std::to_string(effect_status) +
-               " level=" + std::to_string(ended.level) +
+               " admission_level=" + std::to_string(ended.level) +
                " tried=" + std::to_string(item.tried.size()) + " took_us=" +
                took(item, current) + " detail=" + in_one_word(ended.detail));
 }
--- a/src/node/internal/arrive.cpp
+++ b/src/node/internal/arrive.cpp
@@ -48,8 +48,7 @@
     take_route_rank(node, item.head, *rule, item.hop);
     item.hop.retries_left = std::max(rule->max_attempts, 1U) - 1;
     item.retries_left = item.hop.retries_left;
-    item.hop.route =
-        route_terms{rule->is_repeatable, rule->max_attempts, rule->aim};
+    item.hop.route = route_terms{rule->is_repeatable, rule->aim};
     duration const stated = item.head.time_left.value_or(rule->timeout);
     item.deadline = item.arrived_at + std::min(stated, rule->timeout);
     item.aim = item.arrived_at + rule->aim;
--- a/src/routes/internal/routes.cpp
+++ b/src/routes/internal/routes.cpp
@@ -115,7 +115,7 @@
 {
     begin_call(routes,
                store_purpose::watch,
-               store_watch{std::string(table_key), routes.cursor, watch_limit},
+               store_watch{std::string(table_key), *routes.cursor, watch_limit},
                watch_limit + store_timeout,
                current);
 }
@@ -138,8 +138,7 @@
 {
     routes.retry_delay = {};
     routes.next_read = current.now.monotonic;
-    routes.has_cursor = true;
-    routes.cursor = std::max(routes.cursor, cursor);
+    routes.cursor = std::max(routes.cursor.value_or(0), cursor);
     if (routes.store_lost_at)
     {
         auto const lost_for =
@@ -181,7 +180,7 @@
     // Changes may have been missed: the table is read anew.
     void operator()(store_history_lost const&) const
     {
-        this->routes.has_cursor = false;
+        this->routes.cursor.reset();
         this->routes.next_read = this->current.now.monotonic;
         record(this->current, "", "routes", "history-lost", {});
     }
@@ -189,7 +188,7 @@
     template <class Other>
     void operator()(Other const&) const
     {
-        this->routes.has_cursor = false;
+        this->routes.cursor.reset();
         note_store_lost(this->routes, this->current);
     }
 };
@@ -286,8 +285,7 @@
         routes.next_read = now + watch_limit;
         return;
     }
-    routes.has_cursor ? watch_store(routes, current)
-                      : read_store(routes, current);
+    routes.cursor ? watch_store(routes, current) : read_store(routes, current);
 }
 
 void note_peer_version(state& routes,
--- a/src/routes/routes.hpp
+++ b/src/routes/routes.hpp
@@ -49,9 +49,9 @@
     bool is_ready = false;
 
     std::map<store_call_id, store_purpose> calls;
-    // Position in the service's history up to which changes are known.
-    std::uint64_t cursor = 0;
-    bool has_cursor = false;
+    // Position in the service's history up to which changes are known; none:
+    // the table has to be read.
+    std::optional<std::uint64_t> cursor;
     // Since when the platform's service gives no answer; for the log.
     std::optional<instant> store_lost_at;
     instant next_read{};
