--- a/apps/plantaintallyd/main.cpp
+++ b/apps/plantaintallyd/main.cpp
@@ -69,12 +69,7 @@
     own.has_routes = chosen.routes.source == settings::route_source::store;
     own.upstream_silence = chosen.edge.upstream_silence;
     own.configuration_poll = chosen.platform.poll_interval;
-    if (chosen.retry.budget_extra > 0)
-    {
-        // Half of what is allowed: repeats deep in a chain cause others.
-        own.fleet_repeats = chosen.retry.budget_extra / 2;
-        own.retries = {chosen.retry.budget_ratio / 2, 1, 1};
-    }
+    own.fleet_budget = {chosen.retry.budget_ratio, chosen.retry.budget_extra};
     own.is_policy_enabled = chosen.measure.is_policy_enabled;
     return own;
 }
--- a/src/departures/tests/departures_test.cpp
+++ b/src/departures/tests/departures_test.cpp
@@ -1,5 +1,7 @@
 #include "departures/departures.hpp"
 
+#include "test_fleet/step_bench.hpp"
+
 #include <catch2/catch.hpp>
 
 #include <algorithm>
@@ -12,14 +14,9 @@
 {
 
 // One process of a node, with the record at the store kept by the test.
-struct process
+struct process : step_bench
 {
     state departures;
-    random_source random{1};
-    id_source ids;
-    timeline::hybrid_clock clock;
-    effects out;
-    instant now{1000s};
     std::uint64_t last_report = 0;
 
     process()
@@ -29,16 +26,6 @@
         start(this->departures, current);
     }
 
-    step begin()
-    {
-        this->out.clear();
-        return {moment{this->now, {}},
-                this->random,
-                this->ids,
-                this->clock,
-                this->out};
-    }
-
     outcome report(upstream_life const& life,
                    upstream_phase phase = upstream_phase::ready)
     {
@@ -52,19 +39,6 @@
         return take_report(this->departures, reported, current);
     }
 
-    template <class Effect>
-    Effect const* find() const
-    {
-        for (effect const& each : this->out)
-        {
-            if (auto const* found = std::get_if<Effect>(&each))
-            {
-                return found;
-            }
-        }
-        return nullptr;
-    }
-
     outcome reply(store_result const& result)
     {
         auto current = this->begin();
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -313,7 +313,6 @@
     node.routes.self = own.self;
     node.routes.is_enabled = own.has_routes;
     node.departures.self = own.self;
-    node.retries.own = own.retries;
     node.once.own.self = own.self;
     node.once.own.availability_zone = own.availability_zone;
     return node;
--- a/src/node/internal/route.cpp
+++ b/src/node/internal/route.cpp
@@ -123,16 +123,14 @@
                                                     current.now.monotonic);
 }
 
-// A node's part of the repeats that the whole fleet may send at once.
+// Takes this node's part of what the whole fleet may repeat.
 void share_repeats(state& node)
 {
-    if (node.own.fleet_repeats <= 0)
+    if (node.own.fleet_budget.extra > 0)
     {
-        return;
+        node.retries.own = retry::node_allowance(
+            node.own.fleet_budget, membership::member_count(node.membership));
     }
-    auto const members = static_cast<double>(
-        std::max<std::size_t>(membership::member_count(node.membership), 1));
-    node.retries.own.most = std::max(1.0, node.own.fleet_repeats / members);
 }
 
 // The choice of a member with what it rested on: the route table's version, and
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -46,11 +46,8 @@
     duration upstream_silence{};
     // Time between two polls for changes of the ranks by a relay.
     duration configuration_poll = std::chrono::seconds(1);
-    // Repeats that this node may send.
-    retry::allowance retries;
-    // Repeats that the fleet may send at once beyond their share of the
-    // requests, divided among its nodes; zero: each node keeps its own.
-    double fleet_repeats = 0;
+    // What all nodes together may repeat.
+    retry::fleet_budget fleet_budget;
     // False turns every policy off: requests pass through with three blind
     // retries a hop. For comparison in measurements only.
     bool is_policy_enabled = true;
--- a/src/retry/tests/policy_test.cpp
+++ b/src/retry/tests/policy_test.cpp
@@ -29,6 +29,15 @@
 
 } // namespace
 
+TEST_CASE("the nodes of a fleet share its budget of repeats")
+{
+    retry::fleet_budget const budget{0.2, 48};
+    CHECK(retry::node_allowance(budget, 12).most == 2.0);
+    CHECK(retry::node_allowance(budget, 12).per_request == 0.1);
+    CHECK(retry::node_allowance(budget, 1000).most == 1.0);
+    CHECK(retry::node_allowance(budget, 0).most == 24.0);
+}
+
 TEST_CASE("a read that may have run is retried")
 {
     CHECK(choose(failed_read()) == retry::retry_kind::retry);
--- a/src/retry/token_bucket.hpp
+++ b/src/retry/token_bucket.hpp
@@ -1,6 +1,8 @@
 // Bounds the retries of one node to one service to a share of its requests.
 #pragma once
 
+#include <cstddef>
+
 namespace plantaintally::retry
 {
 
@@ -19,6 +21,20 @@
     double initial = max_tokens;
 };
 
+// The repeats that a whole fleet may send to a service in a window.
+struct fleet_budget
+{
+    // Share of the service's requests.
+    double ratio = 0;
+    // Repeats beyond the share; zero: there is no budget of the fleet's.
+    double extra = 0;
+};
+
+// A node's part of the fleet's budget, if there are this many nodes. Half of
+// the budget is left for the calls that repeated requests make, which count
+// too.
+allowance node_allowance(fleet_budget const& budget, std::size_t nodes);
+
 struct token_bucket
 {
     double tokens = max_tokens;
--- a/src/routes/tests/routes_test.cpp
+++ b/src/routes/tests/routes_test.cpp
@@ -1,6 +1,7 @@
 #include "routes/routes.hpp"
 
 #include "codec/route_table_codec.hpp"
+#include "test_fleet/step_bench.hpp"
 
 #include <catch2/catch.hpp>
 
@@ -31,69 +32,43 @@
 }
 
 // One node's routes, with the effects of each step.
-struct bench
+struct bench : step_bench
 {
     routes::state routes;
-    random_source random{1};
-    id_source ids;
-    timeline::hybrid_clock clock;
-    effects out;
-    instant now{1000s};
 
     bench()
     {
         this->routes.is_enabled = true;
         this->routes.self.address = "10.0.0.1:7000";
-        auto current = this->step_at();
+        auto current = this->begin();
         routes::start(this->routes, current);
         this->advance(0s);
     }
 
-    step step_at()
-    {
-        this->out.clear();
-        return {moment{this->now, {}},
-                this->random,
-                this->ids,
-                this->clock,
-                this->out};
-    }
-
     void advance(duration span)
     {
         this->now += span;
         std::vector<std::string> const peers{"10.0.0.2:7000"};
-        auto current = this->step_at();
+        auto current = this->begin();
         routes::handle_time(this->routes, peers, 2, current);
     }
 
     // The call on the store that the last step made.
     call_store const* call() const
     {
-        for (effect const& each : this->out)
-        {
-            if (auto const* made = std::get_if<call_store>(&each))
-            {
-                return made;
-            }
-        }
-        return nullptr;
+        return this->find<call_store>();
     }
 
     bool asks_peers() const
     {
-        return std::any_of(
-            this->out.begin(),
-            this->out.end(),
-            [](effect const& each)
-            { return std::holds_alternative<send_control>(each); });
+        return this->find<send_control>() != nullptr;
     }
 
     // Answers the call of the last step, and does what is due then.
     void reply(store_result const& result)
     {
         auto const made = this->call()->call;
-        auto current = this->step_at();
+        auto current = this->begin();
         routes::handle_store(this->routes, made, result, current);
         this->advance(0s);
     }
@@ -160,7 +135,7 @@
     node.reply_table(5, 10);
     node.reply_table(4, 11);
     CHECK(node.routes.in_force.version == 5);
-    auto current = node.step_at();
+    auto current = node.begin();
     routes::handle_message(node.routes,
                            {"10.0.0.2:7000", 1},
                            routes::table_update{table_of(3)},
@@ -184,7 +159,7 @@
     CHECK_FALSE(routes::is_ready(node.routes));
     node.advance(300ms);
     CHECK(node.asks_peers());
-    auto current = node.step_at();
+    auto current = node.begin();
     routes::handle_message(node.routes,
                            {"10.0.0.2:7000", 1},
                            routes::table_update{table_of(3)},
@@ -196,7 +171,7 @@
 {
     bench node;
     node.reply_table(3, 10);
-    auto current = node.step_at();
+    auto current = node.begin();
     routes::note_peer_version(node.routes, "10.0.0.2:7000", 3, current);
     CHECK_FALSE(node.asks_peers());
     routes::note_peer_version(node.routes, "10.0.0.2:7000", 4, current);
