Cross zones only for a member that is clearly less loaded

Bytes between zones are the dearest price of that site. Change: a member of another zone has to be less loaded by half of its slots.

--- a/src/routing/internal/choose.cpp
+++ b/src/routing/internal/choose.cpp
@@ -11,6 +11,10 @@
 // A member of the own zone above this load competes with the other zones: all
 // that it may run at a time is in use.
 constexpr std::uint32_t spill_over_permille = 1000;
+// A member of another zone has to be less loaded than the near one by this
+// much: half of a member's slots, which is the shortest wait that is worth the
+// way between zones. Without it two full zones send their requests crosswise.
+constexpr std::uint32_t crossing_margin_permille = 500;
 // Load that one request of this node in flight stands for, at one slot.
 constexpr std::uint32_t permille_per_slot = 1000;
 // After this time a load report counts for nothing.
@@ -149,7 +153,8 @@
         return best == nullptr ? other : best;
     }
     bool const is_farther_better =
-        score(routing, *other, asked.now) < score(routing, *best, asked.now);
+        score(routing, *other, asked.now) + crossing_margin_permille <=
+        score(routing, *best, asked.now);
     return is_farther_better ? other : best;
 }
 
--- a/src/routing/tests/routing_test.cpp
+++ b/src/routing/tests/routing_test.cpp
@@ -82,6 +82,27 @@
         "a:1");
 }
 
+TEST_CASE("full zones don't send their requests crosswise")
+{
+    routing::state peers;
+    random_source random(3);
+    auto const members = three_zones();
+    instant const now{1s};
+    for (auto const& each : members)
+    {
+        hop_report full;
+        full.load_permille = each.node.address == "a:1" ? 1400 : 1000;
+        routing::note_report(
+            peers, each.node.address, "browsing", full, random, now);
+    }
+    for (int index = 0; index < 50; ++index)
+    {
+        auto const chosen =
+            routing::choose(peers, members, from_zone("z1", now), random);
+        CHECK(chosen.address == "a:1");
+    }
+}
+
 TEST_CASE("a node that answers that it drains gets nothing from then on")
 {
     routing::state peers;
