Let a cold start steer senders and refuse nothing

Change: the load that a cold member tells is measured against half of its limit, rising to all of it; what may run is not cut.

--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -125,6 +125,6 @@
 std::optional<instant> next_deadline(state const& admission, instant now);
 
 // Time after which a refused caller may try again.
-duration suggested_wait(state const& admission, instant now);
+duration suggested_wait(state const& admission);
 
 } // namespace plantaintally::admission
--- a/src/admission/internal/admission.cpp
+++ b/src/admission/internal/admission.cpp
@@ -16,10 +16,8 @@
 // The subtree's level holds when most requests of the rank fail below.
 constexpr double mostly_doomed = 0.5;
 constexpr duration doomed_lifetime = std::chrono::seconds(1);
-// During a cold start the limit grows without an event.
 // Waiting requests are looked through no more often than this.
 constexpr duration check_interval = std::chrono::milliseconds(1);
-constexpr duration ramp_step = std::chrono::milliseconds(50);
 
 std::uint32_t
 own_level(state const& admission, rank_queue const& queue, instant now)
@@ -126,7 +124,7 @@
         return 0;
     }
     std::uint64_t const present = admission.in_flight + admission.queued;
-    std::uint64_t const limit = allowed(admission.limit, now);
+    std::uint64_t const limit = comfortable(admission.limit, now);
     return static_cast<std::uint32_t>(present * permille / limit);
 }
 
@@ -138,20 +136,13 @@
     }
     instant earliest =
         admission.earliest_deadline - longest_typical(admission.limit);
-    earliest = std::max(earliest, now + check_interval);
-    duration const age = now - admission.limit.opened_at;
-    if (age < admission.limit.cold_start)
-    {
-        instant const step = now + ramp_step;
-        earliest = std::min(earliest, step);
-    }
-    return earliest;
+    return std::max(earliest, now + check_interval);
 }
 
-duration suggested_wait(state const& admission, instant now)
+duration suggested_wait(state const& admission)
 {
     duration const mean = mean_service(admission.limit);
-    std::uint32_t const slots = allowed(admission.limit, now);
+    std::uint32_t const slots = allowed(admission.limit);
     duration const drain =
         mean * static_cast<duration::rep>(admission.queued) / slots;
     return std::clamp(drain, min_suggested_wait, max_suggested_wait);
--- a/src/admission/internal/concurrency_limit.cpp
+++ b/src/admission/internal/concurrency_limit.cpp
@@ -9,8 +9,10 @@
 namespace
 {
 
-// Share of the slots open at the beginning of a cold start.
-constexpr double cold_start_share = 0.1;
+// Speed that an upstream is taken to have at the beginning of a cold start, as
+// a share of its usual one. One that is slower still shows it by the requests
+// that it has in hand.
+constexpr double cold_start_share = 0.5;
 constexpr double min_limit_share = 0.05;
 // Refusals lower the limit no further than this share of the slots: an upstream
 // that refuses some requests with half of its slots free is not short of slots,
@@ -266,18 +268,24 @@
     limit.window_start = now;
 }
 
-std::uint32_t allowed(concurrency_limit const& limit, instant now)
+std::uint32_t allowed(concurrency_limit const& limit)
 {
-    double ramp = limit.slots;
+    double const bound = std::min<double>(limit.slots, limit.value);
+    return std::max(1U, static_cast<std::uint32_t>(bound));
+}
+
+std::uint32_t comfortable(concurrency_limit const& limit, instant now)
+{
+    std::uint32_t const warm = allowed(limit);
     duration const age = now - limit.opened_at;
-    if (age < limit.cold_start)
+    if (age >= limit.cold_start)
     {
-        double const progress = static_cast<double>(age.count()) /
-                                static_cast<double>(limit.cold_start.count());
-        ramp *= cold_start_share + (1.0 - cold_start_share) * progress;
+        return warm;
     }
-    double const bound = std::min(ramp, limit.value);
-    return std::max(1U, static_cast<std::uint32_t>(bound));
+    double const progress = static_cast<double>(age.count()) /
+                            static_cast<double>(limit.cold_start.count());
+    double const ramp = cold_start_share + (1.0 - cold_start_share) * progress;
+    return std::max(1U, static_cast<std::uint32_t>(ramp * warm));
 }
 
 void note_sample(concurrency_limit& limit,
--- a/src/admission/internal/offer.cpp
+++ b/src/admission/internal/offer.cpp
@@ -20,10 +20,10 @@
 }
 
 // True if a slot is free and nothing waits for it.
-bool can_run_now(state const& admission, instant now)
+bool can_run_now(state const& admission)
 {
     return admission.queued == 0 &&
-           admission.in_flight < allowed(admission.limit, now);
+           admission.in_flight < allowed(admission.limit);
 }
 
 // The reason why waiting is no use, if there is one.
@@ -32,7 +32,7 @@
                                           work const& item,
                                           instant now)
 {
-    duration const wait = estimated_wait(admission, queue, now);
+    duration const wait = estimated_wait(admission, queue);
     duration const service = typical_service(admission.limit, item.rank);
     if (now + wait + service > item.deadline)
     {
@@ -67,15 +67,13 @@
     }
 }
 
-offer_result refuse(state const& admission,
-                    refusal reason,
-                    std::vector<refused_work> shed,
-                    instant now)
+offer_result
+refuse(state const& admission, refusal reason, std::vector<refused_work> shed)
 {
     offer_result result;
     result.kind = offer_kind::refused;
     result.reason = reason;
-    result.retry_after = suggested_wait(admission, now);
+    result.retry_after = suggested_wait(admission);
     result.shed = std::move(shed);
     return result;
 }
@@ -106,7 +104,7 @@
     }
     if (reason)
     {
-        return refuse(admission, *reason, std::move(result.shed), now);
+        return refuse(admission, *reason, std::move(result.shed));
     }
     make_room(admission, queue, result);
     return enqueue(admission, queue, std::move(item), std::move(result));
@@ -120,18 +118,18 @@
     rank_queue& queue = queue_of(admission, item);
     if (!admission.is_open)
     {
-        return refuse(admission, refusal::no_upstream, {}, now);
+        return refuse(admission, refusal::no_upstream, {});
     }
     duration const service = shortest_service(admission.limit, item.rank);
     if (now + service > item.deadline && admission.in_flight > 0)
     {
-        return refuse(admission, refusal::deadline_unreachable, {}, now);
+        return refuse(admission, refusal::deadline_unreachable, {});
     }
     if (!item.is_protected && is_unprotected_closed(admission, now))
     {
-        return refuse(admission, refusal::overload, {}, now);
+        return refuse(admission, refusal::overload, {});
     }
-    if (can_run_now(admission, now))
+    if (can_run_now(admission))
     {
         ++admission.in_flight;
         return offer_result{offer_kind::admitted, {}, {}, {}};
--- a/src/admission/internal/overload.cpp
+++ b/src/admission/internal/overload.cpp
@@ -81,10 +81,9 @@
     return queue;
 }
 
-duration
-estimated_wait(state const& admission, rank_queue const& queue, instant now)
+duration estimated_wait(state const& admission, rank_queue const& queue)
 {
-    std::uint32_t const slots = allowed(admission.limit, now);
+    std::uint32_t const slots = allowed(admission.limit);
     double const mean_us =
         static_cast<double>(mean_service(admission.limit).count());
     if (admission.in_flight < slots || mean_us == 0)
--- a/src/admission/internal/overload.hpp
+++ b/src/admission/internal/overload.hpp
@@ -22,7 +22,6 @@
 rank_queue& queue_of(state& admission, work const& item);
 
 // Time that a new request of the rank would wait, by the present queues.
-duration
-estimated_wait(state const& admission, rank_queue const& queue, instant now);
+duration estimated_wait(state const& admission, rank_queue const& queue);
 
 } // namespace plantaintally::admission
--- a/src/admission/internal/serve.cpp
+++ b/src/admission/internal/serve.cpp
@@ -91,7 +91,7 @@
 
 std::optional<work> take_next(state& admission, instant now)
 {
-    bool const is_full = admission.in_flight >= allowed(admission.limit, now);
+    bool const is_full = admission.in_flight >= allowed(admission.limit);
     if (is_full || admission.queued == 0)
     {
         return std::nullopt;
--- a/src/node/internal/admit.cpp
+++ b/src/node/internal/admit.cpp
@@ -134,8 +134,7 @@
                item.hop.rank + " waited_us=" + std::to_string(waited.count()) +
                " left_us=" + std::to_string(left.count()) + " in_flight=" +
                std::to_string(node.admission.in_flight) + " limit=" +
-               std::to_string(admission::allowed(node.admission.limit,
-                                                 current.now.monotonic)));
+               std::to_string(admission::allowed(node.admission.limit)));
 }
 
 void serve_queue(state& node, step& current)
@@ -160,8 +159,7 @@
                     std::vector<admission::refused_work> const& refused,
                     step& current)
 {
-    duration const wait =
-        admission::suggested_wait(node.admission, current.now.monotonic);
+    duration const wait = admission::suggested_wait(node.admission);
     for (admission::refused_work const& each : refused)
     {
         exchange* item = find(node.table, each.item.exchange);
