Repeat the most urgent first, by permits of the nodes beside refusing upstreams

Entrances with few requests earn few repeats; the calls, which enter at few nodes, earned them all. Change: a node beside an upstream sees all first requests of it; for a quarter of the ratio it grants repeats of the most urgent requests that the upstream refused, and tells so with the refusal. A sender's bucket holds what its last second has earned and keeps half for its most urgent requests. A refused caller comes back, with jitter, after a quarter of the time for a good answer, not after 200 ms, when that time was over for the most urgent. Each call on the store leaves a line in the log.

--- a/src/codec/internal/hop_headers.cpp
+++ b/src/codec/internal/hop_headers.cpp
@@ -16,9 +16,11 @@
 constexpr std::uint32_t key_home_bit = 1;
 constexpr std::uint32_t delegated_bit = 2;
 constexpr std::uint32_t probe_bit = 4;
+constexpr std::uint32_t repeat_bit = 8;
 // Those of a report.
 constexpr std::uint32_t reached_bit = 1;
 constexpr std::uint32_t draining_bit = 2;
+constexpr std::uint32_t granted_bit = 4;
 
 char lower(char letter)
 {
@@ -77,6 +79,7 @@
     hop.to_key_home = (bits & key_home_bit) != 0;
     hop.is_delegated = (bits & delegated_bit) != 0;
     hop.is_probe = (bits & probe_bit) != 0;
+    hop.is_repeat = (bits & repeat_bit) != 0;
     if (source.size() > 8)
     {
         route_terms terms;
@@ -103,6 +106,7 @@
     read_element(source, 10, report.key_home);
     report.has_reached_upstream = (bits & reached_bit) != 0;
     report.is_draining = (bits & draining_bit) != 0;
+    report.is_repeat_granted = (bits & granted_bit) != 0;
 }
 
 template <class T>
@@ -142,7 +146,8 @@
 {
     std::uint32_t const bits = bit_if(hop.to_key_home, key_home_bit) |
                                bit_if(hop.is_delegated, delegated_bit) |
-                               bit_if(hop.is_probe, probe_bit);
+                               bit_if(hop.is_probe, probe_bit) |
+                               bit_if(hop.is_repeat, repeat_bit);
     json fields = json::array({hop.service,
                                hop.rank,
                                hop.urgency,
@@ -163,7 +168,8 @@
 {
     std::uint32_t const bits =
         bit_if(report.has_reached_upstream, reached_bit) |
-        bit_if(report.is_draining, draining_bit);
+        bit_if(report.is_draining, draining_bit) |
+        bit_if(report.is_repeat_granted, granted_bit);
     json fields = json::array({write_value(report.outcome),
                                write_value(report.reason),
                                bits,
--- a/src/codec/tests/hop_headers_test.cpp
+++ b/src/codec/tests/hop_headers_test.cpp
@@ -28,6 +28,7 @@
             hop.retries_left = *rc::gen::arbitrary<std::uint32_t>();
             hop.to_key_home = *rc::gen::arbitrary<bool>();
             hop.is_probe = *rc::gen::arbitrary<bool>();
+            hop.is_repeat = *rc::gen::arbitrary<bool>();
             hop.service = *rc::gen::element<std::string>("desk", "");
             if (*rc::gen::arbitrary<bool>())
             {
@@ -48,6 +49,7 @@
     report.key_home = "10.0.0.3:7001";
     report.retry_after = duration(1'500'000);
     report.is_draining = true;
+    report.is_repeat_granted = true;
     report.has_reached_upstream = true;
     std::vector<header_field> const headers{codec::encode_hop_report(report)};
     auto const read = codec::decode_hop_report(headers);
--- a/src/drivers/internal/platform_client.cpp
+++ b/src/drivers/internal/platform_client.cpp
@@ -289,6 +289,12 @@
     call_control control;
     auto request = this->chosen.spoken.make_store_request(wanted.request,
                                                           this->chosen.address);
+    logging::write({logging::level::debug,
+                    "store",
+                    "called",
+                    {{"call", std::to_string(wanted.call.value)},
+                     {"method", request.method},
+                     {"target", request.target}}});
     // Stands if the call ends by an exception: it may have been written.
     call_result ended = call_failure{attempt_failure::malformed_answer, true};
     try
--- a/src/messages/request_types.hpp
+++ b/src/messages/request_types.hpp
@@ -75,6 +75,8 @@
     // True if the sender would have shed the request by the level that it
     // knows, and sends it to find out whether that still holds.
     bool is_probe = false;
+    // True if an upstream of the service was handed the request before.
+    bool is_repeat = false;
     // What the entrance has read of the operators' route; absent without one.
     std::optional<route_terms> route;
     hybrid_time sent_at;
@@ -100,6 +102,9 @@
     // Requests running and queued at the node, in thousandths of its limit.
     std::uint32_t load_permille = 0;
     bool is_draining = false;
+    // True if the node lets the sender repeat the request out of its own part
+    // of the fleet's budget.
+    bool is_repeat_granted = false;
     // With reason not_key_home: the address of the home in the sender's epoch.
     std::string key_home;
     duration retry_after{};
--- a/src/node/internal/admit.cpp
+++ b/src/node/internal/admit.cpp
@@ -31,6 +31,21 @@
     return work;
 }
 
+// A request that comes for the first time earns a part of a permit to repeat
+// one.
+void note_permits(state& node, exchange const& item, step& current)
+{
+    bool const is_repeat = item.hop.is_repeat || item.retries_made > 0 ||
+                           item.upstream_refusals > 0;
+    if (!is_repeat && grants_repeats(node))
+    {
+        retry::note_request(node.permits,
+                            retry::permit_allowance(node.own.fleet_budget),
+                            item.hop.urgency,
+                            current.now.monotonic);
+    }
+}
+
 // The own upstream takes no work: the home of a key lets another member run
 // it; every other request is refused and goes elsewhere.
 void turn_away(state& node, exchange& item, step& current)
@@ -71,6 +86,11 @@
 
 } // namespace
 
+bool grants_repeats(state const& node)
+{
+    return node.own.fleet_budget.extra > 0;
+}
+
 void admit_here(state& node, exchange& item, step& current)
 {
     bool const is_served = serves_own_upstream(node, item) &&
@@ -79,6 +99,7 @@
     {
         return turn_away(node, item, current);
     }
+    note_permits(node, item, current);
     exchange_id const id = item.id;
     auto const offered = admission::offer(
         node.admission, make_work(item), current.now.monotonic);
--- a/src/node/internal/answer.cpp
+++ b/src/node/internal/answer.cpp
@@ -14,6 +14,11 @@
 constexpr std::uint32_t not_run_status = 503;
 constexpr std::uint32_t may_have_run_status = 504;
 constexpr duration default_retry_after = std::chrono::milliseconds(200);
+constexpr duration min_retry_after = std::chrono::milliseconds(20);
+// Part of the time for a good answer after which a refused caller comes back,
+// so that its repeat can still be answered in that time.
+constexpr int comeback_share = 4;
+constexpr double comeback_jitter = 0.25;
 
 std::uint32_t status_of(sending_outcome const& ended)
 {
@@ -33,6 +38,25 @@
                                              : may_have_run_status;
 }
 
+// When a refused caller is to come back. The nodes between leave that to the
+// entrance, which knows the whole time for a good answer.
+duration comeback_after(state& node, exchange const& item, duration asked)
+{
+    if (!item.hop.route)
+    {
+        return std::max(asked, default_retry_after);
+    }
+    if (!is_origin(item))
+    {
+        return asked;
+    }
+    duration const least =
+        std::clamp((item.aim - item.arrived_at) / comeback_share,
+                   min_retry_after,
+                   default_retry_after);
+    return draw_jittered(node.random, std::max(asked, least), comeback_jitter);
+}
+
 std::string took(exchange const& item, step const& current)
 {
     return std::to_string((current.now.monotonic - item.arrived_at).count());
@@ -123,7 +147,8 @@
     if (!ended.answer)
     {
         report.reason = ended.reason.value_or(refusal::attempt_failed);
-        report.retry_after = std::max(ended.retry_after, default_retry_after);
+        report.retry_after = comeback_after(node, item, ended.retry_after);
+        report.is_repeat_granted = ended.is_repeat_granted;
     }
     report.has_reached_upstream = item.has_reached_upstream;
     report.attempts = item.executions;
--- a/src/node/internal/attempt.cpp
+++ b/src/node/internal/attempt.cpp
@@ -164,6 +164,9 @@
     {
         return;
     }
+    ended.is_repeat_granted =
+        answered.is_upstream_refusal && grants_repeats(node) &&
+        retry::take_permit(node.permits, item.hop.urgency);
     end_sending(node, item, ended, current);
 }
 
@@ -214,6 +217,7 @@
     ended.is_unsent = !report.has_reached_upstream;
     ended.is_peer_word = true;
     ended.level = report.admission_level;
+    ended.is_repeat_granted = report.is_repeat_granted;
     item.tried.push_back(sent.peer);
     if (report.reason == refusal::not_key_home)
     {
--- a/src/node/internal/conclude.cpp
+++ b/src/node/internal/conclude.cpp
@@ -64,11 +64,13 @@
 {
     retry::failed_sending failed;
     failed.service = item.head.service;
+    failed.urgency = item.hop.urgency;
     failed.outcome = ended.outcome;
     failed.reason = ended.reason;
     failed.is_idempotent = is_repeatable(item);
     failed.is_free_to_move =
         item.hop.route && ended.is_unsent && may_still_move(node, item, now);
+    failed.is_granted = ended.is_repeat_granted;
     failed.is_keyed = is_keyed(item);
     failed.retries_left = item.retries_left;
     failed.retries_made = item.retries_made;
--- a/src/node/internal/request_path.hpp
+++ b/src/node/internal/request_path.hpp
@@ -28,6 +28,8 @@
     bool is_unsent = false;
     // True if another node refused the request and told the verdict.
     bool is_peer_word = false;
+    // True if the node beside the upstream that refused lets it be repeated.
+    bool is_repeat_granted = false;
     // The level at which a peer refused, or zero.
     std::uint32_t level = 0;
 };
@@ -56,6 +58,8 @@
                 step& current);
 
 // admit.cpp: admission at the own upstream, and dispatch.
+// True if this node hands out permits to repeat what its upstream refused.
+bool grants_repeats(state const& node);
 void admit_here(state& node, exchange& item, step& current);
 void serve_queue(state& node, step& current);
 void refuse_waiting(state& node,
--- a/src/node/internal/route.cpp
+++ b/src/node/internal/route.cpp
@@ -192,7 +192,10 @@
     if (is_first)
     {
         share_repeats(node);
-        retry::note_request(node.retries, item.head.service);
+        retry::note_request(node.retries,
+                            item.head.service,
+                            item.hop.urgency,
+                            current.now.monotonic);
     }
     if (is_throttled(node, item, current))
     {
@@ -260,6 +263,7 @@
     effect.hop = item.hop;
     effect.hop.retries_left = split.passed;
     effect.hop.depth = item.hop.depth + 1;
+    effect.hop.is_repeat = item.retries_made > 0;
     effect.hop.sent_at = timeline::advance(node.clock, current.now.wall);
     if (effect.hop.route)
     {
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -70,6 +70,8 @@
     admission::source_throttle throttle;
     routing::state routing;
     retry::state retries;
+    // Permits to repeat requests that the own upstream refused.
+    retry::token_bucket permits;
     exchange_table table;
     counters counted;
     query::state queries;
--- a/src/node/tests/request_path_test.cpp
+++ b/src/node/tests/request_path_test.cpp
@@ -54,6 +54,51 @@
     CHECK(fleet.executions("c", "t1") == 1);
 }
 
+TEST_CASE("what an upstream refuses is repeated by the permits of its node")
+{
+    virtual_fleet fleet(default_settings());
+    add_chain(fleet);
+    for (std::size_t index = 0; index < 6; ++index)
+    {
+        fleet.node(index).own.fleet_budget = {0.2, 48};
+    }
+    fleet.upstream(4).plan.refused = 0.5;
+    fleet.upstream(5).plan.refused = 0.5;
+    constexpr int usual = 1000;
+    for (int index = 0; index < usual; ++index)
+    {
+        fleet.submit(index % 2,
+                     make_head("c", "/browse", "b" + std::to_string(index)),
+                     10ms * index);
+    }
+    // An entrance with too few requests to earn repeats of its own.
+    constexpr int urgent = 100;
+    for (int index = 0; index < urgent; ++index)
+    {
+        fleet.submit(3,
+                     make_head("c", "/confirm", "u" + std::to_string(index)),
+                     100ms * index);
+    }
+    fleet.run_for(15s);
+    int served = 0;
+    int arrived = 0;
+    for (caller_answer const& answer : fleet.answers())
+    {
+        bool const is_urgent = answer.trace_id.starts_with('u');
+        served += is_urgent && answer.is_whole ? 1 : 0;
+    }
+    for (std::size_t index : {4U, 5U})
+    {
+        for (auto const& [key, value] : fleet.node(index).counted.total)
+        {
+            bool const is_arrival = key.kind == count_kind::arrived;
+            arrived += is_arrival ? static_cast<int>(value) : 0;
+        }
+    }
+    CHECK(served >= 90);
+    CHECK(arrived - usual - urgent <= (usual + urgent) / 5 + 48);
+}
+
 TEST_CASE("a request for an unknown service is refused as not run")
 {
     virtual_fleet fleet(default_settings());
--- a/src/retry/internal/policy.cpp
+++ b/src/retry/internal/policy.cpp
@@ -23,6 +23,7 @@
     }
     token_bucket& fresh = retries.buckets[std::string(service)];
     fresh.tokens = retries.own.initial;
+    fresh.most = retries.own.most;
     return fresh;
 }
 
@@ -74,9 +75,12 @@
     return method == "GET" || method == "HEAD" || method == "OPTIONS";
 }
 
-void note_request(state& retries, std::string_view service)
+void note_request(state& retries,
+                  std::string_view service,
+                  std::uint32_t urgency,
+                  instant now)
 {
-    note_request(bucket_of(retries, service), retries.own);
+    note_request(bucket_of(retries, service), retries.own, urgency, now);
 }
 
 retry_decision
@@ -112,7 +116,8 @@
     {
         return {};
     }
-    if (!take_token(bucket_of(retries, failed.service)))
+    if (!failed.is_granted &&
+        !take_token(bucket_of(retries, failed.service), failed.urgency))
     {
         return {};
     }
--- a/src/retry/policy.hpp
+++ b/src/retry/policy.hpp
@@ -19,6 +19,7 @@
 struct failed_sending
 {
     std::string_view service;
+    std::uint32_t urgency = 0;
     verdict outcome = verdict::may_have_run;
     std::optional<refusal> reason;
     bool is_idempotent = false;
@@ -26,6 +27,8 @@
     // True if a node refused before any upstream was handed the request, and
     // another member may still be tried in time.
     bool is_free_to_move = false;
+    // True if the node that refused it lets it be repeated.
+    bool is_granted = false;
     // Retries left in the request's budget.
     std::uint32_t retries_left = 0;
     // Retries and free redirections made so far.
@@ -66,7 +69,10 @@
 bool is_idempotent_method(std::string_view method);
 
 // A request was sent to the service for the first time.
-void note_request(state& retries, std::string_view service);
+void note_request(state& retries,
+                  std::string_view service,
+                  std::uint32_t urgency,
+                  instant now);
 
 // Decides, and takes the bucket's token if the answer is to retry.
 retry_decision
