--- a/src/codec/internal/store_json.hpp
+++ b/src/codec/internal/store_json.hpp
@@ -9,7 +9,7 @@
 
 PLANTAINTALLY_ENUM(
     store_client, "membership", "configuration", "once", "routes", "departures")
-PLANTAINTALLY_JSON(store_get, "store_get", key, may_lag)
+PLANTAINTALLY_JSON(store_get, "store_get", key)
 PLANTAINTALLY_JSON(store_compare_and_set,
                    "store_compare_and_set",
                    key,
--- a/src/membership/internal/contacts.cpp
+++ b/src/membership/internal/contacts.cpp
@@ -40,10 +40,7 @@
               std::string const& key,
               step& current)
 {
-    // Contacts are confirmed by asking them, so old ones do. After a conflict
-    // the newest list is wanted, or the next write fails as the last one.
-    bool const may_lag = membership.contacts.retry_delay == duration::zero();
-    begin_call(membership, purpose, store_get{key, may_lag}, key, current);
+    begin_call(membership, purpose, store_get{key}, key, current);
 }
 
 void write_key(state& membership,
--- a/src/messages/store_types.hpp
+++ b/src/messages/store_types.hpp
@@ -37,8 +37,6 @@
 struct store_get
 {
     std::string key;
-    // True if an older value does as well; such a read costs the service less.
-    bool may_lag = false;
     bool operator==(store_get const&) const = default;
 };
 
--- a/src/test_fleet/fake_store.cpp
+++ b/src/test_fleet/fake_store.cpp
@@ -17,11 +17,6 @@
     this->expire_leases(now);
     if (auto const* get = std::get_if<store_get>(&request))
     {
-        this->lagging_reads += get->may_lag ? 1 : 0;
-        if (get->may_lag && this->is_lagging)
-        {
-            return store_missing{this->last_revision};
-        }
         return this->read(get->key);
     }
     if (auto const* waiting = std::get_if<store_watch>(&request))
--- a/src/test_fleet/fake_store.hpp
+++ b/src/test_fleet/fake_store.hpp
@@ -26,13 +26,10 @@
     bool is_down = false;
     // This many of the next writes take effect, but their answers are lost.
     std::uint32_t answers_to_lose = 0;
-    // Reads that may lag find nothing.
-    bool is_lagging = false;
     // Every answer is this late.
     duration delay = std::chrono::milliseconds(2);
     // Calls so far.
     std::uint64_t reads = 0;
-    std::uint64_t lagging_reads = 0;
     std::uint64_t writes = 0;
 
 private:
