Export how long requests take, as histograms

Cause: the metrics had counters and gauges only, so on call could not tell at which place time goes. Times at the entrance and beside the upstream, by rank and result, in Boost.Histogram; written by prometheus-cpp's serializer.

--- a/src/metrics/internal/metrics.cpp
+++ b/src/metrics/internal/metrics.cpp
@@ -12,9 +12,31 @@
 namespace
 {
 
-bool is_counter(node::statistic const& figure)
+prometheus::MetricType type_of(node::statistic_kind kind)
 {
-    return figure.kind == node::statistic_kind::counter;
+    switch (kind)
+    {
+    case node::statistic_kind::counter:
+        return prometheus::MetricType::Counter;
+    case node::statistic_kind::gauge:
+        return prometheus::MetricType::Gauge;
+    case node::statistic_kind::histogram:
+        return prometheus::MetricType::Histogram;
+    }
+    return prometheus::MetricType::Untyped;
+}
+
+prometheus::ClientMetric::Histogram to_histogram(node::statistic const& figure)
+{
+    prometheus::ClientMetric::Histogram histogram;
+    histogram.sample_sum = figure.value;
+    for (auto const& bucket : figure.buckets)
+    {
+        histogram.bucket.push_back(
+            {bucket.cumulative_count, bucket.upper_bound});
+        histogram.sample_count = bucket.cumulative_count;
+    }
+    return histogram;
 }
 
 prometheus::ClientMetric to_metric(node::statistic const& figure)
@@ -24,13 +46,17 @@
     {
         metric.label.push_back({name, value});
     }
-    if (is_counter(figure))
+    switch (figure.kind)
     {
+    case node::statistic_kind::counter:
         metric.counter.value = figure.value;
-    }
-    else
-    {
+        break;
+    case node::statistic_kind::gauge:
         metric.gauge.value = figure.value;
+        break;
+    case node::statistic_kind::histogram:
+        metric.histogram = to_histogram(figure);
+        break;
     }
     return metric;
 }
@@ -44,8 +70,7 @@
     {
         auto& family = families[figure.name];
         family.name = "plantaintally_" + figure.name;
-        family.type = is_counter(figure) ? prometheus::MetricType::Counter
-                                         : prometheus::MetricType::Gauge;
+        family.type = type_of(figure.kind);
         family.metric.push_back(to_metric(figure));
     }
     std::vector<prometheus::MetricFamily> ordered;
--- a/src/metrics/tests/metrics_test.cpp
+++ b/src/metrics/tests/metrics_test.cpp
@@ -2,10 +2,26 @@
 
 #include <catch2/catch.hpp>
 
+#include <limits>
 #include <vector>
 
 using namespace plantaintally;
 
+TEST_CASE("a histogram is written with its buckets, sum and count")
+{
+    node::statistic figure{
+        "request_seconds", node::statistic_kind::histogram, {}, 1.5};
+    figure.buckets = {
+        {0.25, 2}, {1, 3}, {std::numeric_limits<double>::infinity(), 4}};
+    CHECK(metrics::write_metrics(std::vector{figure}) ==
+          "# TYPE plantaintally_request_seconds histogram\n"
+          "plantaintally_request_seconds_count 4\n"
+          "plantaintally_request_seconds_sum 1.5\n"
+          "plantaintally_request_seconds_bucket{le=\"0.25\"} 2\n"
+          "plantaintally_request_seconds_bucket{le=\"1\"} 3\n"
+          "plantaintally_request_seconds_bucket{le=\"+Inf\"} 4\n");
+}
+
 TEST_CASE("figures of one name stand together with their labels escaped")
 {
     std::vector<node::statistic> const figures{
--- a/src/node/internal/answer.cpp
+++ b/src/node/internal/answer.cpp
@@ -129,6 +129,14 @@
         return;
     }
     item.is_answered = true;
+    if (is_origin(item))
+    {
+        std::string_view const result =
+            ended.answer ? "answered" : to_string(*ended.reason);
+        add(node.timed,
+            {latency_place::entrance, item.hop.rank, std::string(result)},
+            current.now.monotonic - item.arrived_at);
+    }
     if (ended.answer)
     {
         return answer_whole(node, item, ended, current);
--- a/src/node/internal/attempt.cpp
+++ b/src/node/internal/attempt.cpp
@@ -52,6 +52,23 @@
     return "cancelled";
 }
 
+// How an attempt at the own upstream ended, for the metrics.
+std::string_view to_string(admission::sample_kind kind)
+{
+    switch (kind)
+    {
+    case admission::sample_kind::completed:
+        return "answered";
+    case admission::sample_kind::refused:
+        return "refused";
+    case admission::sample_kind::timed_out:
+        return "timed-out";
+    case admission::sample_kind::ignored:
+        return "failed";
+    }
+    return "failed";
+}
+
 admission::load_sample make_sample(exchange const& item,
                                    sending const& sent,
                                    admission::sample_kind kind,
@@ -75,6 +92,9 @@
                         admission::sample_kind kind,
                         step& current)
 {
+    add(node.timed,
+        {latency_place::upstream, item.hop.rank, std::string(to_string(kind))},
+        current.now.monotonic - sent.started);
     if (!node.own.is_policy_enabled)
     {
         return;
--- a/src/node/internal/statistics.cpp
+++ b/src/node/internal/statistics.cpp
@@ -1,6 +1,7 @@
 #include "node/statistics.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace plantaintally::node
 {
@@ -31,6 +32,38 @@
     }
 }
 
+std::vector<statistic_bucket> to_buckets(latency_histogram const& histogram)
+{
+    std::vector<statistic_bucket> buckets;
+    std::uint64_t below = 0;
+    auto const& axis = histogram.counts.axis();
+    for (int index = 0; index <= axis.size(); ++index)
+    {
+        below += static_cast<std::uint64_t>(histogram.counts.at(index));
+        double const bound = index < axis.size()
+                                 ? axis.bin(index).upper()
+                                 : std::numeric_limits<double>::infinity();
+        buckets.push_back({bound, below});
+    }
+    return buckets;
+}
+
+void add_latencies(std::vector<statistic>& figures, latencies const& timed)
+{
+    for (auto const& [key, histogram] : timed)
+    {
+        statistic figure;
+        figure.name = "request_seconds";
+        figure.kind = statistic_kind::histogram;
+        figure.labels = {{"place", std::string(to_string(key.place))},
+                         {"rank", key.rank},
+                         {"result", key.result}};
+        figure.value = histogram.sum_s;
+        figure.buckets = to_buckets(histogram);
+        figures.push_back(std::move(figure));
+    }
+}
+
 void add_queues(std::vector<statistic>& figures, state const& node)
 {
     for (auto const& [rank, queue] : node.admission.queues)
@@ -66,6 +99,7 @@
 {
     std::vector<statistic> figures;
     add_counts(figures, node.counted.total);
+    add_latencies(figures, node.timed);
     add_queues(figures, node);
     add_gauges(figures, node);
     std::ranges::sort(figures,
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -12,6 +12,7 @@
 #include "messages/step.hpp"
 #include "node/counters.hpp"
 #include "node/exchange.hpp"
+#include "node/latencies.hpp"
 #include "once/once.hpp"
 #include "query/query.hpp"
 #include "retry/policy.hpp"
@@ -74,6 +75,7 @@
     retry::token_bucket permits;
     exchange_table table;
     counters counted;
+    latencies timed;
     query::state queries;
     timeline::journal journal;
     // The service of the own upstream, also after the upstream has gone.
