--- a/src/node/internal/conclude.cpp
+++ b/src/node/internal/conclude.cpp
@@ -80,7 +80,8 @@
     return failed;
 }
 
-void schedule_retry(state& node, exchange& item, duration wait, step& current)
+void schedule_retry(
+    state& node, exchange& item, duration wait, bool is_granted, step& current)
 {
     --item.retries_left;
     ++item.retries_made;
@@ -92,7 +93,8 @@
            "retry",
            "retried",
            "wait_us=" + std::to_string(wait.count()) +
-               " retries_left=" + std::to_string(item.retries_left));
+               " retries_left=" + std::to_string(item.retries_left) +
+               " granted=" + (is_granted ? "true" : "false"));
 }
 
 bool try_again(state& node,
@@ -121,7 +123,7 @@
         route_request(node, item, current);
         return true;
     }
-    schedule_retry(node, item, decision.wait, current);
+    schedule_retry(node, item, decision.wait, ended.is_repeat_granted, current);
     return true;
 }
 
