--- a/src/node/tests/request_path_test.cpp
+++ b/src/node/tests/request_path_test.cpp
@@ -38,6 +38,48 @@
     fleet.form();
 }
 
+effects hand_in(state& node, event const& happened)
+{
+    constexpr instant now{100s};
+    return reduce(node, happened, moment{now, wall_time(100s)});
+}
+
+template <class Effect>
+Effect find_effect(effects const& out)
+{
+    for (effect const& asked : out)
+    {
+        if (auto const* found = std::get_if<Effect>(&asked))
+        {
+            return *found;
+        }
+    }
+    FAIL("the effect is missing");
+    return {};
+}
+
+// What the node beside an upstream says of a request that the upstream refuses.
+bool is_repeat_granted(state& node, std::uint64_t id, std::uint32_t urgency)
+{
+    request_arrived arrived;
+    arrived.exchange = exchange_id{id};
+    arrived.source = request_source::peer;
+    arrived.head = make_head("c", "/x", "t" + std::to_string(id));
+    arrived.head.time_left = 1s;
+    arrived.hop.emplace();
+    arrived.hop->service = "c";
+    arrived.hop->rank = std::to_string(urgency);
+    arrived.hop->urgency = urgency;
+    arrived.hop->route = route_terms{true, 1s};
+    auto const sent = find_effect<dispatch_request>(hand_in(node, arrived));
+    attempt_answered refused;
+    refused.attempt = sent.attempt;
+    refused.status = 503;
+    refused.is_upstream_refusal = true;
+    return find_effect<refuse_request>(hand_in(node, refused))
+        .report.is_repeat_granted;
+}
+
 } // namespace
 
 TEST_CASE("a request is answered whole through a chain of services")
@@ -54,49 +96,24 @@
     CHECK(fleet.executions("c", "t1") == 1);
 }
 
-TEST_CASE("what an upstream refuses is repeated by the permits of its node")
+TEST_CASE(
+    "the node beside an upstream grants repeats of urgent refused requests")
 {
-    virtual_fleet fleet(default_settings());
-    add_chain(fleet);
-    for (std::size_t index = 0; index < 6; ++index)
-    {
-        fleet.node(index).own.fleet_budget = {0.2, 48};
-    }
-    fleet.upstream(4).plan.refused = 0.5;
-    fleet.upstream(5).plan.refused = 0.5;
-    constexpr int usual = 1000;
-    for (int index = 0; index < usual; ++index)
+    options own;
+    own.self = {"10.0.0.1:7000", 1};
+    own.has_routes = true;
+    own.fleet_budget = {0.2, 48};
+    state beside = make_state(own);
+    hand_in(beside,
+            upstream_announced{{"c", "127.0.0.1:8000", 10, 10, 0s, ""}});
+    // The bucket begins with one permit and gets one more for twenty requests.
+    CHECK(is_repeat_granted(beside, 1, 1000));
+    CHECK_FALSE(is_repeat_granted(beside, 2, 1000));
+    for (std::uint64_t id = 3; id < 23; ++id)
     {
-        fleet.submit(index % 2,
-                     make_head("c", "/browse", "b" + std::to_string(index)),
-                     10ms * index);
-    }
-    // An entrance with too few requests to earn repeats of its own.
-    constexpr int urgent = 100;
-    for (int index = 0; index < urgent; ++index)
-    {
-        fleet.submit(3,
-                     make_head("c", "/confirm", "u" + std::to_string(index)),
-                     100ms * index);
-    }
-    fleet.run_for(15s);
-    int served = 0;
-    int arrived = 0;
-    for (caller_answer const& answer : fleet.answers())
-    {
-        bool const is_urgent = answer.trace_id.starts_with('u');
-        served += is_urgent && answer.is_whole ? 1 : 0;
-    }
-    for (std::size_t index : {4U, 5U})
-    {
-        for (auto const& [key, value] : fleet.node(index).counted.total)
-        {
-            bool const is_arrival = key.kind == count_kind::arrived;
-            arrived += is_arrival ? static_cast<int>(value) : 0;
-        }
+        CHECK_FALSE(is_repeat_granted(beside, id, 999));
     }
-    CHECK(served >= 90);
-    CHECK(arrived - usual - urgent <= (usual + urgent) / 5 + 48);
+    CHECK(is_repeat_granted(beside, 23, 1000));
 }
 
 TEST_CASE("a request for an unknown service is refused as not run")
