--- a/src/admission/concurrency_limit.hpp
+++ b/src/admission/concurrency_limit.hpp
@@ -102,10 +102,9 @@
 // The number of requests that may run now; at least one.
 std::uint32_t allowed(concurrency_limit const& limit);
 
-// The number of requests that the upstream is as fast with as a warm one with
-// `allowed`; less during a cold start. Senders compare members by it. It
-// refuses nothing: an upstream that is slow has all its slots, and when every
-// member has just started there is no other to go to.
+// What senders compare the load with: `allowed`, but a part of it during a cold
+// start, so that they prefer warm members. It refuses nothing: a slow upstream
+// has all its slots, and when every member has just started there is no other.
 std::uint32_t comfortable(concurrency_limit const& limit, instant now);
 
 // Takes in a request that has left the upstream; `in_flight` counts it too.
--- a/src/messages/request_types.hpp
+++ b/src/messages/request_types.hpp
@@ -75,7 +75,8 @@
     // True if the sender would have shed the request by the level that it
     // knows, and sends it to find out whether that still holds.
     bool is_probe = false;
-    // True if an upstream of the service was handed the request before.
+    // True if the entrance has tried the request before; it counts as a repeat
+    // even if no upstream was handed it.
     bool is_repeat = false;
     // What the entrance has read of the operators' route; absent without one.
     std::optional<route_terms> route;
