Refuse new work at the entrance while a service below has no capacity

Cause: the entrance shed only by what the called service itself refused; a worker that answers 500 because one of its calls was refused counted as accepting. So with a scarce service deep in a chain nearly all chains were let in and failed after work was spent on them.

Change: refusals for lack of capacity are marked in the report between nodes; the node beside a worker marks a failed answer during which a call of its worker ended so (calls are told from clients by the address of the machine); the entrance lets in the share of new work that is served (admission/entrance_gate). Calls under way are not affected. A refusal by a worker that has free slots is no lack of capacity and does not count.

--- a/src/codec/internal/hop_headers.cpp
+++ b/src/codec/internal/hop_headers.cpp
@@ -21,6 +21,7 @@
 constexpr std::uint32_t reached_upstream_bit = 1;
 constexpr std::uint32_t draining_bit = 2;
 constexpr std::uint32_t repeat_granted_bit = 4;
+constexpr std::uint32_t lacks_capacity_bit = 8;
 
 char to_ascii_lower(char letter)
 {
@@ -109,6 +110,7 @@
     report.has_reached_upstream = (bits & reached_upstream_bit) != 0;
     report.is_draining = (bits & draining_bit) != 0;
     report.is_repeat_granted = (bits & repeat_granted_bit) != 0;
+    report.lacks_capacity = (bits & lacks_capacity_bit) != 0;
 }
 
 template <class T>
@@ -172,7 +174,8 @@
     std::uint32_t const bits =
         bit_if(report.has_reached_upstream, reached_upstream_bit) |
         bit_if(report.is_draining, draining_bit) |
-        bit_if(report.is_repeat_granted, repeat_granted_bit);
+        bit_if(report.is_repeat_granted, repeat_granted_bit) |
+        bit_if(report.lacks_capacity, lacks_capacity_bit);
     json fields = json::array({write_value(report.outcome),
                                write_value(report.reason),
                                bits,
--- a/src/codec/internal/request_json.hpp
+++ b/src/codec/internal/request_json.hpp
@@ -49,7 +49,8 @@
                    idempotency_key,
                    caller,
                    time_left,
-                   body_bytes)
+                   body_bytes,
+                   is_from_own_host)
 PLANTAINTALLY_ENUM(upstream_phase, "ready", "draining", "gone")
 PLANTAINTALLY_JSON(
     upstream_incarnation, "upstream_life", instance, born_ms, sequence)
@@ -77,6 +78,7 @@
                    admission_level,
                    load_permille,
                    is_draining,
+                   lacks_capacity,
                    is_repeat_granted,
                    key_home,
                    retry_after,
--- a/src/codec/tests/hop_headers_test.cpp
+++ b/src/codec/tests/hop_headers_test.cpp
@@ -50,6 +50,7 @@
     report.retry_after = duration(1'500'000);
     report.is_draining = true;
     report.is_repeat_granted = true;
+    report.lacks_capacity = true;
     report.has_reached_upstream = true;
     std::vector<header_field> const headers{codec::encode_hop_report(report)};
     auto const decoded = codec::decode_hop_report(headers);
--- a/src/drivers/dialect.hpp
+++ b/src/drivers/dialect.hpp
@@ -37,6 +37,8 @@
     std::string caller;
     // Trace id to use if the request has none.
     std::string fallback_trace_id;
+    // True if the connection comes from the node's own machine.
+    bool is_own_host = false;
 };
 
 // The receiver of a response: the source of the request and its trace id.
--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -33,6 +33,15 @@
     return ec ? std::string() : remote.address().to_string();
 }
 
+bool is_own_host(tcp::socket const& socket)
+{
+    error_code ec;
+    auto const local = socket.local_endpoint(ec);
+    error_code remote_ec;
+    auto const remote = socket.remote_endpoint(remote_ec);
+    return !ec && !remote_ec && local.address() == remote.address();
+}
+
 // Creates the refusal for a request that could not be read; nothing if the
 // connection has ended.
 std::optional<refused_answer> refusal_for(read_failure failure)
@@ -73,6 +82,7 @@
       write_guard(this->socket),
       reader(this->socket, this->read_guard, shared.limits),
       remote_ip(remote_address(this->socket)),
+      is_remote_own_host(is_own_host(this->socket)),
       state_changed(this->socket.get_executor())
 {
     this->services.open_sessions.insert(this);
@@ -404,11 +414,13 @@
     {
         return {this->services.source,
                 this->services.caller_service,
-                this->services.make_trace_id()};
+                this->services.make_trace_id(),
+                this->is_remote_own_host};
     }
     return {this->services.source,
             is_local ? this->services.local_service() : this->remote_ip,
-            this->services.make_trace_id()};
+            this->services.make_trace_id(),
+            this->is_remote_own_host};
 }
 
 } // namespace plantaintally::drivers
--- a/src/drivers/internal/session.hpp
+++ b/src/drivers/internal/session.hpp
@@ -95,6 +95,7 @@
     deadline_guard write_guard;
     request_reader reader;
     std::string remote_ip;
+    bool is_remote_own_host = false;
     // In the order of the requests; the front element is written next.
     std::deque<pending_answer> pending;
     // Wakes the reading or the writing side when the state of the session
--- a/src/messages/request_types.hpp
+++ b/src/messages/request_types.hpp
@@ -40,6 +40,9 @@
     // rank applies.
     std::optional<duration> time_left;
     std::uint64_t body_bytes = 0;
+    // True if the request came from a process on the node's own machine. Behind
+    // a caller listener that is the upstream, which makes a downstream call.
+    bool is_from_own_host = false;
 
     bool operator==(request_head const&) const = default;
 };
@@ -111,6 +114,9 @@
     // concurrency limit.
     std::uint32_t load_permille = 0;
     bool is_draining = false;
+    // True if the request was refused or failed because this upstream, or one
+    // that it calls, has no capacity left.
+    bool lacks_capacity = false;
     // True if this node allows the request's sender to repeat it and charges
     // the repeat to this node's share of the fleet's retry budget.
     bool is_repeat_granted = false;
--- a/src/node/exchange.hpp
+++ b/src/node/exchange.hpp
@@ -85,6 +85,8 @@
     // Number of times that the local upstream refused the request without
     // executing it.
     std::uint32_t upstream_refusals = 0;
+    // True once the gate for new work has let the request in.
+    bool has_entered = false;
     // True if the request was sent to an upstream, whatever the result.
     bool has_reached_upstream = false;
     // Executions so far, at this node and downstream.
@@ -137,6 +139,10 @@
 // True if it is safe to execute the request more than once.
 bool is_repeatable(exchange const& request);
 
+// True for a call that the local upstream makes while it executes a request,
+// where the route table and not a parent's trace id determines its terms.
+bool is_upstream_call(exchange const& request);
+
 // True if the request came from a caller or from the local upstream: this node
 // selects the member that serves it, and makes the retries.
 bool is_origin(exchange const& request);
--- a/src/node/internal/admit.cpp
+++ b/src/node/internal/admit.cpp
@@ -80,6 +80,7 @@
     result.retry_after = retry_after;
     result.detail = "the upstream has no room for this request";
     result.is_undelivered = true;
+    result.lacks_capacity = true;
     result.level = admission::admission_level(
         node.admission, request.hop.rank, current.now.monotonic);
     retry_or_conclude(node, request, result, current);
--- a/src/node/internal/answer.cpp
+++ b/src/node/internal/answer.cpp
@@ -172,6 +172,7 @@
         report.is_repeat_granted = result.is_repeat_granted;
     }
     report.has_reached_upstream = request.has_reached_upstream;
+    report.lacks_capacity = result.lacks_capacity;
     report.attempts = request.executions;
     report.retries_left = request.retries_left;
     report.admission_level = std::max(
--- a/src/node/internal/attempt.cpp
+++ b/src/node/internal/attempt.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr std::uint32_t unavailable_status = 503;
+constexpr std::uint32_t first_server_error = 500;
 // Number of refusals by the upstream after which this node refuses the request
 // as well.
 constexpr std::uint32_t max_upstream_refusals = 2;
@@ -174,6 +175,11 @@
     }
     finish_upstream_attempt(node, request, attempt, kind, current);
     attempt_result result = upstream_result(answered);
+    // The calls of an upstream don't name the request that they belong to, so a
+    // call that failed while this request ran is taken for one of its own.
+    result.lacks_capacity = answered.status >= first_server_error &&
+                            result.answer &&
+                            node.last_call_without_capacity >= attempt.started;
     admission::note_answer(node.admission,
                            request.hop.rank,
                            was_shed_downstream(request, result),
@@ -235,6 +241,7 @@
     result.reason = report.reason;
     result.status = answered.status;
     result.retry_after = report.retry_after;
+    result.lacks_capacity = report.lacks_capacity;
     if (!report.reason)
     {
         result.answer = answered.attempt;
--- a/src/node/internal/conclude.cpp
+++ b/src/node/internal/conclude.cpp
@@ -175,6 +175,32 @@
                              current.now.monotonic);
 }
 
+// Passes the end of a request that entered the fleet here to the decision on
+// later ones: at the entrance of a chain to the gate for new work, in the
+// middle of one to the requests that wait for this call.
+void note_capacity(state& node,
+                   exchange const& request,
+                   attempt_result const& result,
+                   instant now)
+{
+    if (is_upstream_call(request))
+    {
+        node.last_call_without_capacity =
+            result.lacks_capacity ? now : node.last_call_without_capacity;
+        return;
+    }
+    bool const has_entered =
+        is_origin(request) && request.hop.route && request.has_entered;
+    if (has_entered && result.reason != refusal::caller_gone)
+    {
+        admission::note_finished(node.entrance,
+                                 request.head.service,
+                                 request.hop.rank,
+                                 {request.arrived_at, result.lacks_capacity},
+                                 now);
+    }
+}
+
 void note_local_refusal(state& node,
                         exchange& request,
                         attempt_result const& result)
@@ -255,6 +281,7 @@
     }
     bool const is_retained = settle_key(node, request, effective, current);
     note_if_accepted(node, request, effective, current);
+    note_capacity(node, request, effective, current.now.monotonic);
     answer_exchange(node, request, effective, current);
     release_answer(effective, is_retained, current);
     detach_child(node, request, effective, current.now.monotonic);
@@ -273,6 +300,7 @@
     result.detail = detail;
     if (reason == refusal::shed_at_source)
     {
+        result.lacks_capacity = true;
         auto const members =
             membership::members_of(node.membership, request.head.service);
         result.level = routing::lowest_admission_level(
--- a/src/node/internal/exchange.cpp
+++ b/src/node/internal/exchange.cpp
@@ -54,6 +54,12 @@
            retry::is_idempotent_method(request.head.method);
 }
 
+bool is_upstream_call(exchange const& request)
+{
+    return request.source == request_source::caller && request.hop.route &&
+           request.head.is_from_own_host;
+}
+
 bool is_origin(exchange const& request)
 {
     return request.source != request_source::peer;
--- a/src/node/internal/request_path.hpp
+++ b/src/node/internal/request_path.hpp
@@ -32,6 +32,8 @@
     // True if the node beside the refusing upstream granted a permit for a
     // retry.
     bool is_repeat_granted = false;
+    // True if the local upstream, or one that it calls, has no capacity left.
+    bool lacks_capacity = false;
     // The admission level at which the request was refused, or zero.
     std::uint32_t level = 0;
 };
--- a/src/node/internal/route.cpp
+++ b/src/node/internal/route.cpp
@@ -127,6 +127,25 @@
                                                 current.now.monotonic);
 }
 
+// True if the gate refuses the request as new work. Requests that wait for
+// their service's members come here again and are not asked twice.
+bool is_turned_away(state& node, exchange& request, step& current)
+{
+    bool const is_new_work = is_origin(request) && request.hop.route &&
+                             !is_upstream_call(request) &&
+                             !request.is_protected && !is_keyed(request);
+    if (!is_new_work || request.has_entered)
+    {
+        return false;
+    }
+    request.has_entered = admission::may_enter(node.entrance,
+                                               request.head.service,
+                                               request.hop.rank,
+                                               node.random,
+                                               current.now.monotonic);
+    return !request.has_entered;
+}
+
 // Updates this node's share of the fleet's retry budget.
 void update_retry_allowance(state& node)
 {
@@ -212,6 +231,14 @@
                       "the service refuses most requests of this rank",
                       current);
     }
+    if (is_first && is_turned_away(node, request, current))
+    {
+        return refuse(node,
+                      request,
+                      refusal::shed_at_source,
+                      "a service that this request needs has no capacity left",
+                      current);
+    }
     if (is_keyed(request))
     {
         return route_to_home(node, request, current);
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "admission/admission.hpp"
+#include "admission/entrance_gate.hpp"
 #include "admission/source_throttle.hpp"
 #include "base/random.hpp"
 #include "configuration/configuration.hpp"
@@ -73,6 +74,10 @@
     lifecycle::state lifecycle;
     admission::state admission;
     admission::source_throttle throttle;
+    admission::entrance_gate entrance;
+    // When a call of the local upstream last failed because the called service,
+    // or one below it, has no capacity left.
+    instant last_call_without_capacity{};
     routing::state routing;
     retry::state retries;
     // Permits to retry requests that the local upstream has refused.
