Limit the memory of request bodies; refuse an upload before its body is read

Cause: a node read each body whole before anything looked at it, up to 64 MB each and without a limit on their sum, on machines of 160 MB.

Change: admission/body_budget counts the bytes of bodies held against limits.max_held_body_bytes. A request whose declared body does not fit is refused with 503, not run, once its headers are read, under its own id; one of unknown length as soon as it grows too large. The connection closes after the refusal.

Tests: body_budget_test; 'a body for which there is no room is refused before it is sent'; 'bytes without end are cut off and their connection is not reused' (heads, interim responses and bodies without end; found nothing to mend: header and body limits and the deadline of the call already end them).

--- a/src/admission/entrance_gate.hpp
+++ b/src/admission/entrance_gate.hpp
@@ -55,8 +55,9 @@
     bool lacks_capacity = false;
 };
 
-// Records the end of a request that was let in. Requests that entered before the
-// latest reduction of the share are ignored: they say nothing about its effect.
+// Records the end of a request that was let in. Requests that entered before
+// the latest reduction of the share are ignored: they say nothing about its
+// effect.
 void note_finished(entrance_gate& entrance,
                    std::string_view service,
                    std::string_view rank,
--- a/src/drivers/http.hpp
+++ b/src/drivers/http.hpp
@@ -1,6 +1,7 @@
 // Short names for the I/O libraries, and plain HTTP message types.
 #pragma once
 
+#include "admission/body_budget.hpp"
 #include "codec/hop_headers.hpp"
 
 #include <boost/asio/awaitable.hpp>
@@ -29,6 +30,8 @@
     std::vector<header_field> headers;
     std::string body;
     bool is_keep_alive = true;
+    // The memory of the body, as counted against the node's limit.
+    admission::body_hold hold = {};
 };
 
 // A request to send. The body is shared with the exchange it belongs to.
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -37,6 +37,8 @@
     : config(new_config), self(std::move(self_id)),
       callbacks(std::move(given_callbacks)),
       external_dialect(std::move(outer_dialect)), tasks(executor),
+      held_bodies(std::make_shared<admission::body_budget>(
+          admission::body_budget{new_config.limits.max_held_body_bytes, 0})),
       exchanges(executor),
       peer_pool(this->tasks,
                 this->driver_metrics,
@@ -270,6 +272,9 @@
     auto all = this->callbacks.collect_statistics();
     this->driver_metrics.set({"log_lines_dropped"},
                              static_cast<double>(logging::dropped_count()));
+    this->driver_metrics.set(
+        {"held_body_bytes"},
+        static_cast<double>(this->held_bodies->held_bytes));
     this->driver_metrics.set({"exchanges_open"},
                              static_cast<double>(this->exchanges.size()));
     this->driver_metrics.set(
--- a/src/drivers/internal/engine.hpp
+++ b/src/drivers/internal/engine.hpp
@@ -86,6 +86,7 @@
     counters driver_metrics;
     task_scope tasks;
     trace_recorder recorder;
+    std::shared_ptr<admission::body_budget> held_bodies;
     exchange_table exchanges;
     connection_pool peer_pool;
     connection_pool upstream_pool;
--- a/src/drivers/internal/engine_parts.cpp
+++ b/src/drivers/internal/engine_parts.cpp
@@ -63,7 +63,8 @@
              limits.max_body_bytes,
              limits.idle_timeout,
              limits.header_timeout,
-             limits.body_timeout},
+             limits.body_timeout,
+             this->held_bodies},
             limits.write_timeout,
             source,
             name,
@@ -134,7 +135,8 @@
                           node_limits.max_body_bytes,
                           node_limits.idle_timeout,
                           node_limits.header_timeout,
-                          node_limits.body_timeout};
+                          node_limits.body_timeout,
+                          this->held_bodies};
     if (configured.max_header_bytes > 0)
     {
         limits.max_header_bytes = configured.max_header_bytes;
--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace plantaintally::drivers
@@ -54,7 +55,8 @@
                              std::string(message.target()),
                              {},
                              std::move(message.body()),
-                             is_keep_alive};
+                             is_keep_alive,
+                             {}};
     for (auto const& field : message)
     {
         request.headers.push_back(
@@ -71,6 +73,29 @@
         socket, interim, asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+// Bytes that the whole body will have, or those received if that is unknown.
+std::uint64_t known_body_bytes(parser const& source)
+{
+    return std::max<std::uint64_t>(source.content_length().value_or(0),
+                                   source.get().body().size());
+}
+
+incoming_request copy_head(parser const& source)
+{
+    auto const& message = source.get();
+    incoming_request head{std::string(message.method_string()),
+                          std::string(message.target()),
+                          {},
+                          {},
+                          false};
+    for (auto const& field : message)
+    {
+        head.headers.push_back(
+            {std::string(field.name_string()), std::string(field.value())});
+    }
+    return head;
+}
+
 bool expects_continue(parser const& head)
 {
     auto const expectation = head.get()[http::field::expect];
@@ -99,6 +124,8 @@
         return "header-too-slow";
     case read_failure::body_too_slow:
         return "body-too-slow";
+    case read_failure::no_room_for_body:
+        return "no-room-for-body";
     }
     return "malformed";
 }
@@ -174,6 +201,14 @@
         co_return this->guard.is_expired() ? read_failure::header_too_slow
                                            : classify(ec, true);
     }
+    admission::body_hold hold = this->limits.bodies == nullptr
+                                    ? admission::body_hold()
+                                    : admission::body_hold(this->limits.bodies);
+    if (!ec && !hold.grow_to(known_body_bytes(source)))
+    {
+        this->refused_request = copy_head(source);
+        co_return read_failure::no_room_for_body;
+    }
     this->guard.arm(this->limits.body_timeout);
     if (!ec && expects_continue(source))
     {
@@ -181,18 +216,46 @@
     }
     if (!ec && !source.is_done())
     {
-        this->byte_count += co_await http::async_read(
-            this->socket,
-            this->buffer,
-            source,
-            asio::redirect_error(asio::use_awaitable, ec));
+        ec = co_await this->read_body(source, hold);
+    }
+    if (ec == boost::system::errc::not_enough_memory)
+    {
+        this->refused_request = copy_head(source);
+        co_return read_failure::no_room_for_body;
     }
     if (ec)
     {
         co_return this->guard.is_expired() ? read_failure::body_too_slow
                                            : classify(ec, false);
     }
-    co_return to_incoming_request(source);
+    auto request = to_incoming_request(source);
+    request.hold = std::move(hold);
+    co_return request;
+}
+
+template <class Parser>
+asio::awaitable<error_code>
+request_reader::read_body(Parser& source, admission::body_hold& hold)
+{
+    error_code ec;
+    while (!ec && !source.is_done())
+    {
+        this->byte_count += co_await http::async_read_some(
+            this->socket,
+            this->buffer,
+            source,
+            asio::redirect_error(asio::use_awaitable, ec));
+        if (!ec && !hold.grow_to(known_body_bytes(source)))
+        {
+            ec = make_error_code(boost::system::errc::not_enough_memory);
+        }
+    }
+    co_return ec;
+}
+
+incoming_request const& request_reader::refused_head() const
+{
+    return this->refused_request;
 }
 
 bool request_reader::is_idle() const
--- a/src/drivers/internal/request_reader.hpp
+++ b/src/drivers/internal/request_reader.hpp
@@ -21,6 +21,8 @@
     duration idle_timeout{};
     duration header_timeout{};
     duration body_timeout{};
+    // Shared by all listeners; null if bodies are not limited in sum.
+    std::shared_ptr<admission::body_budget> bodies = {};
 };
 
 // Why a request could not be read.
@@ -36,7 +38,9 @@
     header_too_large,
     body_too_large,
     header_too_slow,
-    body_too_slow
+    body_too_slow,
+    // The bodies that the node holds leave no room for this one.
+    no_room_for_body
 };
 
 // Returns the name used in metrics and logs.
@@ -61,6 +65,8 @@
 
     // True while no byte of the next request has been read.
     [[nodiscard]] bool is_idle() const;
+    // The headers of the request for whose body there was no room.
+    [[nodiscard]] incoming_request const& refused_head() const;
     // Returns the number of bytes read since the last call.
     std::uint64_t consume_byte_count();
 
@@ -71,9 +77,14 @@
     boost::beast::flat_buffer buffer;
     bool is_between_requests = true;
     std::uint64_t byte_count = 0;
+    incoming_request refused_request;
 
     asio::awaitable<error_code> read_first_bytes();
     asio::awaitable<read_result> read_message();
+    // Reads the rest of the body while there is room for it.
+    template <class Parser>
+    asio::awaitable<error_code> read_body(Parser& source,
+                                          admission::body_hold& hold);
 };
 
 } // namespace plantaintally::drivers
--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -26,6 +26,11 @@
 // further ones stay unread, so that TCP flow control slows the sender down.
 constexpr std::size_t max_pending_answers = 16;
 
+// When to send a request again for whose body there was no room: bodies are
+// held until their requests are answered, which takes a few hundred
+// milliseconds.
+constexpr duration body_retry_delay = std::chrono::milliseconds(200);
+
 std::string remote_address(tcp::socket const& socket)
 {
     error_code ec;
@@ -33,6 +38,19 @@
     return ec ? std::string() : remote.address().to_string();
 }
 
+// Returns the body; its memory counts as held until the last reference is gone.
+std::shared_ptr<std::string const> share_body(incoming_request request)
+{
+    struct held_body
+    {
+        std::string text;
+        admission::body_hold hold;
+    };
+    auto const owner = std::make_shared<held_body const>(
+        held_body{std::move(request.body), std::move(request.hold)});
+    return {owner, &owner->text};
+}
+
 bool is_own_host(tcp::socket const& socket)
 {
     error_code ec;
@@ -67,6 +85,15 @@
         return refuse_input(request_timeout,
                             refusal::bad_request,
                             "the request's body was not received in time");
+    case read_failure::no_room_for_body:
+    {
+        auto refused = refuse_input(service_unavailable,
+                                    refusal::overload,
+                                    "the node holds too many request bodies");
+        refused.report.lacks_capacity = true;
+        refused.report.retry_after = body_retry_delay;
+        return refused;
+    }
     case read_failure::closed:
     case read_failure::idle:
     case read_failure::incomplete:
@@ -224,10 +251,7 @@
             co_return accepted_request;
         }
     }
-    bool const is_caller = this->services.source == request_source::caller;
-    auto arrived = is_caller ? this->services.external_dialect.read_request(
-                                   request, this->origin())
-                             : parse_request(request, this->origin());
+    auto arrived = this->parse(request);
     if (!arrived)
     {
         this->count_refused_input("bad-head");
@@ -252,7 +276,7 @@
     auto const id = this->services.exchanges.open(
         {arrived.value().head,
          std::move(arrived.value().forwarded_headers),
-         std::make_shared<std::string const>(std::move(request.body))});
+         share_body(std::move(request))});
     this->services.submit_event(
         request_arrived{id,
                         this->services.source,
@@ -393,11 +417,27 @@
     pending_answer pending_reply;
     pending_reply.recipient = {this->services.source,
                                this->services.make_trace_id()};
+    if (failure == read_failure::no_room_for_body)
+    {
+        auto const head = this->parse(this->reader.refused_head());
+        if (head)
+        {
+            pending_reply.recipient.trace_id = head.value().head.trace_id;
+        }
+    }
     pending_reply.content = exchange_reply(std::move(*refused));
     pending_reply.is_keep_alive = false;
     this->add_pending(std::move(pending_reply));
 }
 
+result<parsed_request> session::parse(incoming_request const& request) const
+{
+    bool const is_caller = this->services.source == request_source::caller;
+    return is_caller ? this->services.external_dialect.read_request(
+                           request, this->origin())
+                     : parse_request(request, this->origin());
+}
+
 void session::count_refused_input(std::string_view reason)
 {
     this->services.driver_metrics.add({"input_refused_total",
--- a/src/drivers/internal/session.hpp
+++ b/src/drivers/internal/session.hpp
@@ -121,6 +121,8 @@
     asio::awaitable<bool> write(outgoing_answer content);
     void handle_read_failure(read_failure failure);
     void count_refused_input(std::string_view reason);
+    [[nodiscard]] result<parsed_request>
+    parse(incoming_request const& request) const;
     [[nodiscard]] request_origin origin() const;
 };
 
--- a/src/drivers/tests/http_client_test.cpp
+++ b/src/drivers/tests/http_client_test.cpp
@@ -12,6 +12,7 @@
 #include <atomic>
 #include <functional>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace plantaintally;
@@ -383,6 +384,61 @@
     }
 }
 
+TEST_CASE("bytes without end are cut off and their connection is not reused")
+{
+    // A head that never ends, interim responses without end, and bodies without
+    // end: declared, chunked, and until the end of the connection.
+    struct endless
+    {
+        std::string start;
+        std::string repeated;
+    };
+    for (endless const& each :
+         {endless{"HTTP/1.1 200 OK\r\n", "X: xxxxxxxxxxxxxxxxxxxxxxxx\r\n"},
+          endless{"HTTP/1.1 200 OK\r\nX: ", "xxxxxxxxxxxxxxxxxxxxxxxxxxxxxx"},
+          endless{"", "HTTP/1.1 100 Continue\r\n\r\n"},
+          endless{"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n",
+                  std::string(500, 'x')},
+          endless{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                  "8\r\nxxxxxxxx\r\n"},
+          endless{"HTTP/1.1 200 OK\r\n\r\n", std::string(500, 'x')}})
+    {
+        std::atomic<bool> is_closed = false;
+        scripted_server server(
+            [&](test_connection& connection, std::size_t number)
+            {
+                connection.read_message();
+                if (number > 0)
+                {
+                    connection.write(ok_answer("next"));
+                    connection.read_all();
+                    return;
+                }
+                connection.write(each.start);
+                while (connection.write(each.repeated))
+                {
+                }
+                is_closed = true;
+            });
+        client_fixture fixture;
+        INFO(each.start << each.repeated.substr(0, 30));
+        auto const started = std::chrono::steady_clock::now();
+        auto const failure = failure_in(
+            fixture.call(server.address(), "", std::chrono::seconds(1)));
+        CHECK(failure.is_written);
+        CHECK(std::chrono::steady_clock::now() - started <
+              std::chrono::seconds(3));
+        CHECK(fixture.pool.connection_count() == 0);
+        CHECK(body_text(fixture.call(server.address())) == "next");
+        auto const limit = std::chrono::steady_clock::now() + test_timeout;
+        while (!is_closed && std::chrono::steady_clock::now() < limit)
+        {
+            std::this_thread::sleep_for(std::chrono::milliseconds(1));
+        }
+        CHECK(is_closed);
+    }
+}
+
 TEST_CASE("warm connections are opened in advance and used by calls")
 {
     scripted_server server(echo);
--- a/src/drivers/tests/listener_test.cpp
+++ b/src/drivers/tests/listener_test.cpp
@@ -80,6 +80,44 @@
     CHECK(arrived.head.method == "POST");
 }
 
+TEST_CASE(
+    "a body for which there is no room is refused before it is sent, and the "
+    "next request finds room")
+{
+    driven_node node(refuse_all,
+                     [](settings::node_settings& config)
+                     {
+                         config.limits.max_body_bytes = 1U << 20U;
+                         config.limits.max_held_body_bytes = 1000;
+                     });
+    test_connection connection(node.caller_address());
+    connection.write("POST /photo HTTP/1.1\r\nHost: archive\r\n"
+                     "X-Request-Id: upload-1\r\n"
+                     "Content-Length: 1001\r\n\r\n");
+    auto const refused = connection.read_message();
+    CHECK(has_status(refused, 503));
+    CHECK(header_of(refused, "X-Request-Id") == "upload-1");
+    CHECK(header_of(refused, "Plantaintally-Verdict") == "not-run");
+    CHECK(header_of(refused, "Connection") == "close");
+    CHECK_FALSE(header_of(refused, "Retry-After").empty());
+    CHECK(node.count<request_arrived>() == 0);
+
+    test_connection chunked(node.caller_address());
+    chunked.write("POST /photo HTTP/1.1\r\nHost: archive\r\n"
+                  "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" +
+                  std::string(1001, 'x'));
+    CHECK(has_status(chunked.read_message(), 503));
+    CHECK(node.count<request_arrived>() == 0);
+
+    test_connection fitting(node.caller_address());
+    fitting.write("POST /photo HTTP/1.1\r\nHost: archive\r\n"
+                  "Content-Length: 1000\r\n\r\n" +
+                  std::string(1000, 'x'));
+    CHECK(has_status(fitting.read_message(), 503));
+    CHECK(node.wait_for<request_arrived>().head.body_bytes == 1000);
+    CHECK(node.metric("held_body_bytes") == "0");
+}
+
 TEST_CASE("one connection serves sequential and pipelined requests")
 {
     driven_node node(refuse_all);
--- a/src/drivers/tests/scripted_server.cpp
+++ b/src/drivers/tests/scripted_server.cpp
@@ -73,10 +73,11 @@
     set_hang_limit(this->socket);
 }
 
-void test_connection::write(std::string_view text)
+bool test_connection::write(std::string_view text)
 {
-    error_code ignored;
-    boost::asio::write(this->socket, boost::asio::buffer(text), ignored);
+    error_code ec;
+    boost::asio::write(this->socket, boost::asio::buffer(text), ec);
+    return !ec;
 }
 
 bool test_connection::read_more()
--- a/src/drivers/tests/scripted_server.hpp
+++ b/src/drivers/tests/scripted_server.hpp
@@ -27,7 +27,8 @@
     // Connects to host:port. If that fails, all later calls fail too.
     explicit test_connection(std::string const& address);
 
-    void write(std::string_view text);
+    // Returns false if the other side has closed the connection.
+    bool write(std::string_view text);
     // Reads a message's head and the body that its Content-Length states; empty
     // if the other side closes the connection first.
     std::string read_message();
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -124,6 +124,8 @@
     std::uint32_t max_answer_bytes = 16U << 20U;
     // Total size of the answers kept for attempts that are not yet released.
     std::uint64_t max_retained_bytes = 256U << 20U;
+    // Sum of the request bodies held at a time.
+    std::uint64_t max_held_body_bytes = 64U << 20U;
     std::uint32_t max_caller_connections = 2'000;
     std::uint32_t max_peer_connections = 4'000;
     std::uint32_t max_local_connections = 1'000;
