Few nodes watch the route table; the others learn of a change from peers

Every node watched the table and watched again after each change, and each node without a relay slot looked for one at 5, 10, 20 s after its start.

Change: about 16 nodes watch (was 256); a node that adopts a new version notifies three random peers at once, which ask for the table and notify others; a node asks for a version once in 200 ms. A node that has found no free relay slot looks again after 30 s. Fleets of up to 16 nodes work as before.

Test: 'a fleet of 300 learns a change within its bound from few store calls' (virtual time, 2 ms a message, heartbeats as in membership): nine of ten nodes within 100 ms, all within 2 s.

--- a/src/codec/internal/routes_json.hpp
+++ b/src/codec/internal/routes_json.hpp
@@ -28,5 +28,6 @@
 PLANTAINTALLY_JSON(routes::route_table, "route_table", version, rules, limits)
 PLANTAINTALLY_JSON(routes::table_question, "table_question", version)
 PLANTAINTALLY_JSON(routes::table_update, "table_update", table)
+PLANTAINTALLY_JSON(routes::table_notice, "table_notice", version)
 
 } // namespace plantaintally::codec
--- a/src/configuration/internal/relay.cpp
+++ b/src/configuration/internal/relay.cpp
@@ -25,7 +25,7 @@
 // A node first looks for a free slot at a random time within this window after
 // its start, and after a failure again with exponential backoff.
 constexpr duration first_candidacy_window = std::chrono::seconds(5);
-constexpr duration min_candidacy_delay = std::chrono::seconds(5);
+constexpr duration min_candidacy_delay = std::chrono::seconds(30);
 constexpr duration max_candidacy_delay = std::chrono::minutes(5);
 // If the store has not confirmed the revision for this long, all relays are
 // presumed lost, and the node looks for a free slot within the shorter window.
--- a/src/routes/internal/routes.cpp
+++ b/src/routes/internal/routes.cpp
@@ -23,8 +23,11 @@
 // Interval of table requests to peers while no table is in force.
 constexpr duration table_request_interval = std::chrono::milliseconds(250);
 // Approximate number of nodes that watch the key-value store. In a larger
-// fleet the other nodes learn of changes from their peers.
-constexpr std::size_t max_watchers = 256;
+// fleet the other nodes learn of changes from their peers, so that the number
+// of calls on the store doesn't grow with the fleet.
+constexpr std::size_t max_watchers = 16;
+// Time after which another peer is asked for a version.
+constexpr duration table_answer_timeout = std::chrono::milliseconds(200);
 
 void index_rules(state& routes)
 {
@@ -63,6 +66,7 @@
     std::uint64_t const before = routes.in_force.version;
     routes.in_force = std::move(table);
     routes.is_ready = true;
+    routes.has_news = true;
     index_rules(routes);
     record(current,
            "",
@@ -221,12 +225,37 @@
         }
     }
 
+    void operator()(table_notice const& notice) const
+    {
+        note_peer_version(
+            this->routes, this->sender.address, notice.version, this->current);
+    }
+
     void operator()(table_update const& update) const
     {
         adopt_if_newer(this->routes, update.table, "peer", this->current);
     }
 };
 
+// Notifies some peers of a new version if there are nodes that don't watch the
+// key-value store. Each of them notifies others in turn.
+void send_news(state& routes,
+               std::span<std::string const> peers,
+               std::size_t member_count,
+               step& current)
+{
+    bool const is_new = std::exchange(routes.has_news, false);
+    if (!is_new || member_count <= max_watchers)
+    {
+        return;
+    }
+    for (std::string const& peer : peers)
+    {
+        current.out.push_back(
+            send_control{peer, message(table_notice{routes.in_force.version})});
+    }
+}
+
 } // namespace
 
 void start(state& routes, step& current)
@@ -277,6 +306,7 @@
                 peer, message(table_question{routes.in_force.version})});
         }
     }
+    send_news(routes, peers, member_count, current);
     if (!routes.calls.empty() || now < routes.next_read)
     {
         return;
@@ -294,8 +324,13 @@
                        std::uint64_t version,
                        step& current)
 {
-    if (routes.is_enabled && version > routes.in_force.version)
+    instant const now = current.now.monotonic;
+    bool const is_requested = routes.requested_version >= version &&
+                              now - routes.requested_at < table_answer_timeout;
+    if (routes.is_enabled && version > routes.in_force.version && !is_requested)
     {
+        routes.requested_version = version;
+        routes.requested_at = now;
         current.out.push_back(send_control{
             address, message(table_question{routes.in_force.version})});
     }
@@ -307,6 +342,10 @@
     {
         return std::nullopt;
     }
+    if (routes.has_news)
+    {
+        return instant{};
+    }
     instant next = instant::max();
     if (routes.calls.empty())
     {
--- a/src/routes/messages.hpp
+++ b/src/routes/messages.hpp
@@ -26,6 +26,15 @@
     bool operator==(table_update const&) const = default;
 };
 
-using message = std::variant<table_question, table_update>;
+// States the version that has come into force at the sender, so that nodes that
+// don't watch the key-value store learn of it at once.
+struct table_notice
+{
+    std::uint64_t version = 0;
+
+    bool operator==(table_notice const&) const = default;
+};
+
+using message = std::variant<table_question, table_update, table_notice>;
 
 } // namespace plantaintally::routes
--- a/src/routes/tests/routes_test.cpp
+++ b/src/routes/tests/routes_test.cpp
@@ -5,6 +5,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <deque>
 #include <map>
 
 using namespace plantaintally;
@@ -180,6 +182,183 @@
     CHECK(node.has_asked_peers());
 }
 
+TEST_CASE("a peer is asked once for a version, and again if it does not answer")
+{
+    routes_fixture node;
+    node.reply_table(3, 10);
+    auto const is_asked = [&](std::uint64_t version)
+    {
+        auto current = node.begin();
+        routes::handle_message(node.routes,
+                               {"10.0.0.2:7000", 1},
+                               routes::table_notice{version},
+                               current);
+        return node.has_asked_peers();
+    };
+    CHECK(is_asked(4));
+    CHECK_FALSE(is_asked(4));
+    CHECK(is_asked(5));
+    node.now += 250ms;
+    CHECK(is_asked(5));
+}
+
+TEST_CASE(
+    "a fleet of 300 learns a change within its bound from few store calls")
+{
+    // Control messages take 2 ms. Heartbeats go to eight random nodes every
+    // half second, as in membership.
+    constexpr std::size_t fleet_size = 300;
+    constexpr duration message_delay = 2ms;
+    constexpr duration heartbeat_interval = 500ms;
+    constexpr std::size_t heartbeat_fanout = 8;
+    constexpr duration apply_bound = 2s;
+    constexpr std::uint64_t old_version = 3;
+    constexpr std::uint64_t new_version = 4;
+    struct delivery
+    {
+        instant when{};
+        std::size_t from = 0;
+        std::size_t to = 0;
+        routes::message content;
+    };
+    std::vector<routes_fixture> nodes(fleet_size);
+    std::map<std::string, std::size_t> by_address;
+    std::deque<delivery> in_flight;
+    random_source random(5);
+    instant const start = nodes.front().now;
+    std::size_t store_calls = 0;
+
+    auto const address_of = [](std::size_t index)
+    {
+        return "10.0.0." + std::to_string(index) + ":7000";
+    };
+    // Performs what is due at a node and sends its messages.
+    auto const settle = [&](std::size_t index, instant now)
+    {
+        routes_fixture& node = nodes[index];
+        for (effect const& each : node.out)
+        {
+            auto const* const sent = std::get_if<send_control>(&each);
+            if (sent != nullptr)
+            {
+                in_flight.push_back({now + message_delay,
+                                     index,
+                                     by_address.at(sent->address),
+                                     std::get<routes::message>(sent->message)});
+            }
+            auto const* const call = std::get_if<call_store>(&each);
+            bool const is_watch =
+                call != nullptr &&
+                std::holds_alternative<store_watch>(call->request);
+            store_calls += is_watch && now >= start ? 1 : 0;
+        }
+        node.out.clear();
+    };
+    auto const advance = [&](std::size_t index, instant now)
+    {
+        routes_fixture& node = nodes[index];
+        node.now = now;
+        std::vector<std::string> peers;
+        for (int count = 0; count < 3; ++count)
+        {
+            peers.push_back(address_of(draw_below(random, fleet_size)));
+        }
+        auto current = node.begin();
+        routes::handle_time(node.routes, peers, fleet_size, current);
+        settle(index, now);
+    };
+
+    std::vector<std::pair<std::size_t, store_call_id>> watches;
+    for (std::size_t index = 0; index < fleet_size; ++index)
+    {
+        by_address[address_of(index)] = index;
+        nodes[index].routes.self.address = address_of(index);
+    }
+    for (std::size_t index = 0; index < fleet_size; ++index)
+    {
+        routes_fixture& node = nodes[index];
+        auto const read = node.call()->call;
+        auto current = node.begin();
+        routes::handle_store(
+            node.routes,
+            read,
+            store_entry{std::string(routes::table_key),
+                        codec::encode_route_table(make_table(old_version)),
+                        10,
+                        10},
+            current);
+        node.out.clear();
+        std::vector<std::string> const none;
+        auto next = node.begin();
+        routes::handle_time(node.routes, none, fleet_size, next);
+        if (node.call() != nullptr)
+        {
+            watches.emplace_back(index, node.call()->call);
+        }
+        node.out.clear();
+    }
+    CHECK(watches.size() >= 4);
+    CHECK(watches.size() <= 40);
+
+    for (auto const& [index, call] : watches)
+    {
+        auto current = nodes[index].begin();
+        routes::handle_store(
+            nodes[index].routes,
+            call,
+            store_entry{std::string(routes::table_key),
+                        codec::encode_route_table(make_table(new_version)),
+                        11,
+                        11},
+            current);
+        advance(index, start);
+    }
+    std::size_t informed_soon = 0;
+    auto const informed = [&]
+    {
+        return static_cast<std::size_t>(std::ranges::count_if(
+            nodes,
+            [](routes_fixture const& node)
+            { return node.routes.in_force.version == new_version; }));
+    };
+    for (instant now = start; now <= start + apply_bound; now += 1ms)
+    {
+        while (!in_flight.empty() && in_flight.front().when <= now)
+        {
+            delivery const next = in_flight.front();
+            in_flight.pop_front();
+            nodes[next.to].now = now;
+            auto current = nodes[next.to].begin();
+            routes::handle_message(nodes[next.to].routes,
+                                   {address_of(next.from), 1},
+                                   next.content,
+                                   current);
+            settle(next.to, now);
+            advance(next.to, now);
+        }
+        bool const is_heartbeat_due = (now - start) % heartbeat_interval == 0ms;
+        for (std::size_t index = 0; is_heartbeat_due && index < fleet_size;
+             ++index)
+        {
+            for (std::size_t sent = 0; sent < heartbeat_fanout; ++sent)
+            {
+                auto const to = draw_below(random, fleet_size);
+                nodes[to].now = now;
+                auto current = nodes[to].begin();
+                routes::note_peer_version(nodes[to].routes,
+                                          address_of(index),
+                                          nodes[index].routes.in_force.version,
+                                          current);
+                settle(to, now);
+            }
+        }
+        informed_soon = now == start + 100ms ? informed() : informed_soon;
+    }
+    CHECK(informed_soon >= fleet_size * 9 / 10);
+    CHECK(informed() == fleet_size);
+    CHECK(store_calls <= watches.size() * 2);
+}
+
 TEST_CASE("calls to an unavailable store back off")
 {
     routes_fixture node;
