Entrance gate: one failure in light traffic does not close it; say why it refuses

Cause: a window with a single result closed after a second; if that one request had failed, the share fell to its minimum (found by entrance_test).

Change: the fraction that failed is taken of at least ten results.

--- a/src/admission/internal/entrance_gate.cpp
+++ b/src/admission/internal/entrance_gate.cpp
@@ -34,9 +34,18 @@
     return entrance.gates[std::pair(std::string(service), std::string(rank))];
 }
 
+// Fraction of the window's requests that failed for lack of capacity. A window
+// with few results counts as if the missing ones were good, so that one failure
+// in light traffic doesn't close the gate.
+double failed_fraction(gate_state const& gate)
+{
+    return static_cast<double>(gate.lacking_capacity) /
+           std::max(gate.finished, min_window_results);
+}
+
 bool is_overloaded(gate_state const& gate)
 {
-    return gate.lacking_capacity > tolerated_fraction * gate.finished;
+    return failed_fraction(gate) > tolerated_fraction;
 }
 
 bool is_window_over(gate_state const& gate, instant now)
@@ -48,9 +57,8 @@
 
 void close_window(gate_state& gate, instant now)
 {
-    double const failed =
-        static_cast<double>(gate.lacking_capacity) / gate.finished;
-    double const factor = is_overloaded(gate) ? 1.0 - failed : raise_factor;
+    double const factor =
+        is_overloaded(gate) ? 1.0 - failed_fraction(gate) : raise_factor;
     gate.share = std::clamp(gate.share * factor, min_share, 1.0);
     gate.reduced_at = is_overloaded(gate) ? now : gate.reduced_at;
     gate.window_start = now;
--- a/src/admission/tests/chain_load_test.cpp
+++ b/src/admission/tests/chain_load_test.cpp
@@ -337,6 +337,14 @@
     CHECK(chain_load(plan).run().served_at_end >= 0.98);
 }
 
+TEST_CASE("one failure in light traffic hardly closes the gate")
+{
+    entrance_gate gate;
+    instant const now{100s};
+    note_finished(gate, service, rank, {now, true}, now + 100ms);
+    CHECK(entrance_share(gate, service, rank) >= 0.9);
+}
+
 TEST_CASE("chains of calls by load, in shares of the ceiling", "[figures]")
 {
     std::cout << "load  gate  in aim  late  failed  refused\n";
--- a/src/node/internal/statistics.cpp
+++ b/src/node/internal/statistics.cpp
@@ -78,6 +78,19 @@
     }
 }
 
+void add_entrance_shares(std::vector<statistic>& samples, state const& node)
+{
+    for (auto const& [key, gate] : node.entrance.gates)
+    {
+        statistic sample;
+        sample.name = "entrance_share";
+        sample.kind = statistic_kind::gauge;
+        sample.labels = {{"service", key.first}, {"rank", key.second}};
+        sample.value = gate.share;
+        samples.push_back(std::move(sample));
+    }
+}
+
 void add_gauges(std::vector<statistic>& samples, state const& node)
 {
     add_gauge(samples,
@@ -102,6 +115,7 @@
     add_counts(samples, node.request_counts.total);
     add_latencies(samples, node.request_latencies);
     add_queues(samples, node);
+    add_entrance_shares(samples, node);
     add_gauges(samples, node);
     std::ranges::sort(samples,
                       [](statistic const& left, statistic const& right)
--- a/src/routes/routes.hpp
+++ b/src/routes/routes.hpp
@@ -62,8 +62,8 @@
     instant next_table_request{};
     // True until the peers have been notified of the version in force.
     bool has_news = false;
-    // The version that a peer was last asked for because it has a newer one, and
-    // when.
+    // The version that a peer was last asked for because it has a newer one,
+    // and when.
     std::uint64_t requested_version = 0;
     instant requested_at{};
 };
