--- a/src/routes/tests/routes_test.cpp
+++ b/src/routes/tests/routes_test.cpp
@@ -258,8 +258,10 @@
     {
         routes_fixture& node = nodes[index];
         node.now = now;
+        constexpr std::size_t gossip_peers = 3;
         std::vector<std::string> peers;
-        for (int count = 0; count < 3; ++count)
+        peers.reserve(gossip_peers);
+        for (std::size_t count = 0; count < gossip_peers; ++count)
         {
             peers.push_back(address_of(draw_below(random, fleet_size)));
         }
