--- a/src/admission/internal/entrance_gate.cpp
+++ b/src/admission/internal/entrance_gate.cpp
@@ -9,8 +9,11 @@
 namespace
 {
 
+// Bounds of the time between two changes of the share. A shorter window would
+// end before the requests that the share let in.
 constexpr duration min_window = std::chrono::milliseconds(250);
 constexpr duration max_window = std::chrono::seconds(1);
+// Results that end a window before its maximum length.
 constexpr std::uint32_t min_window_results = 10;
 // The share is reduced above this fraction of requests that fail for lack of
 // capacity, and raised below it. Some must fail, or else it would not show that
--- a/src/routing/routing.hpp
+++ b/src/routing/routing.hpp
@@ -138,7 +138,6 @@
 
 // True if the peer is excluded because of failures.
 bool is_ejected(peer_view const& view, instant now);
-
 bool is_ejected(state const& routing, std::string_view address, instant now);
 
 // Lowest admission level of the rank among the members that accept requests;
