--- a/review/3/case.py
+++ b/review/3/case.py
@@ -17,10 +17,10 @@
                               connect, make_config, new_id, request_bytes,
                               run_case)
 
-CLIENTS = 4
-# More than the sockets of both ends hold, so that the answer waits for the
-# client to read.
-FIRST_BYTES = 12_000_000
+CLIENTS = 6
+# More than the sockets of both ends hold with a small window, so that the answer
+# waits for the client to read.
+FIRST_BYTES = 100_000
 SECOND_AFTER_S = 1.0
 PAUSE_S = 1.5
 DEADLINE_MS = 5000
@@ -49,9 +49,7 @@
     def one():
         first, second = new_id(), new_id()
         body = b"q" * 2000
-        with connect(
-                entry.outbound,
-                receive_buffer=32768 if has_trouble else None) as connection:
+        with connect(entry.outbound, has_small_window=True) as connection:
             record(f"client: sends GET /board/first id={first}")
             connection.sendall(
                 request_bytes("GET", "/board/first", first, DEADLINE_MS))
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -17,15 +17,15 @@
                               connect, make_config, new_id, request_bytes,
                               run_case)
 
-CLIENTS = 3
+CLIENTS = 6
 FIRST_WORK_S = 0.5
 STOP_AFTER_S = 0.2
 # From the first bytes of the first answer.
 SECOND_AFTER_S = 0.3
 READ_AFTER_S = 0.8
-# More than the sockets of both ends hold, so that the answer waits for the
-# client to read.
-FIRST_BYTES = 12_000_000
+# More than the sockets of both ends hold with a small window, so that the answer
+# waits for the client to read.
+FIRST_BYTES = 100_000
 
 
 def work(target):
@@ -53,7 +53,7 @@
     def one():
         first, second = new_id(), new_id()
         got = {first: None, second: None}
-        with connect(entry.outbound, receive_buffer=32768) as connection:
+        with connect(entry.outbound, has_small_window=True) as connection:
             start = time.monotonic()
             record(f"client: sends GET /board/first id={first}")
             connection.sendall(
--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -169,8 +169,16 @@
         self.revision = 1
         self.last_lease = 100
         self.leases = {}
+        self.is_down = False
         super().__init__("127.0.0.1")
 
+    def set_down(self, is_down):
+        """While the store is down it answers 503: nothing was done."""
+        with self.changed:
+            self.is_down = is_down
+            self.changed.notify_all()
+        self.record("store: " + ("down" if is_down else "back"))
+
     def put_operator(self, key, value):
         """The operator writes; returns when the store has acknowledged."""
         with self.changed:
@@ -213,6 +221,8 @@
 
     def _answer(self, method, path, query, body):
         with self.changed:
+            if self.is_down:
+                return 503, {}
             self._end_old_leases()
             if path == "/kv-key":
                 item = self.items.get(query["key"])
@@ -255,6 +265,8 @@
                       if event["revision"] > after
                       and event["key"].startswith(query["prefix"])]
             left = ends - time.monotonic()
+            if self.is_down:
+                return 503, {}
             if events or left <= 0:
                 return 200, {"events": events, "currentRev": self.revision}
             self.changed.wait(left)
@@ -638,12 +650,15 @@
     return head.encode() + b"\r\n" + body
 
 
-def connect(address, timeout=10.0, receive_buffer=None):
+def connect(address, timeout=10.0, has_small_window=False):
+    """Opens a connection. DEPLOY.md says of the links: "small windows, so a peer
+    that does not read blocks the writer"; with a small window and segments of
+    Ethernet's size a writer here is blocked after about 40 KB."""
     host, port = address.rsplit(":", 1)
     connection = socket.socket()
-    if receive_buffer:
-        connection.setsockopt(
-            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
+    if has_small_window:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2304)
+        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1448)
     connection.settimeout(timeout)
     connection.connect((host, int(port)))
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
