--- a/review/5/case.py
+++ b/review/5/case.py
@@ -8,6 +8,7 @@
 """
 
 import os
+import select
 import signal
 import sys
 import threading
@@ -20,7 +21,7 @@
 CLIENTS = 6
 FIRST_WORK_S = 0.5
 STOP_AFTER_S = 0.2
-# From the first bytes of the first answer.
+# From when the first bytes of the first answer wait to be read.
 SECOND_AFTER_S = 0.3
 READ_AFTER_S = 0.8
 # More than the sockets of both ends hold with a small window, so that the answer
@@ -58,14 +59,16 @@
             record(f"client: sends GET /board/first id={first}")
             connection.sendall(
                 request_bytes("GET", "/board/first", first, 5000))
-            reader = HttpReader(connection)
-            reader.fill()
+            # The client has not read anything of the first answer, and so not
+            # its `Connection: close`, when it sends the second request.
+            select.select([connection], [], [], 4.0)
             begun = time.monotonic()
             time.sleep(SECOND_AFTER_S)
             record(f"client: sends GET /board/second id={second} behind it")
             connection.sendall(
                 request_bytes("GET", "/board/second", second, 5000))
             time.sleep(max(0.0, begun + READ_AFTER_S - time.monotonic()))
+            reader = HttpReader(connection)
             ended = None
             try:
                 for request in (first, second):
