Review case 1: a node started without its worker stays on an old configuration

A script with 64 nodes: two of 16 workers of two services crash for good, the four processes beside them are stopped and started, and two versions of the configuration follow.

The other cases are renumbered. The stand-ins never give out a port range twice.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,9 +1,12 @@
-"""LOST: a planned stop cuts requests long before the grace time is over.
+"""CONFIG: a node that is started while its worker is gone stays on an old
+configuration for good.
 
-Two machines: `entry`, which takes the clients' requests, and `desk`, beside
-whose node the worker runs. graceS is 10. `entry` gets SIGTERM; requests that
-it accepts before the platform has taken it out (two readiness questions without
-a 200), and that their worker answers 4.2 s later, have to be answered.
+64 machines, four services of 16 workers. Two workers of `press` and two of
+`board` crash for good; the processes beside them are stopped and started. Two
+versions of
+the configuration follow, each of which moves a route. The clients on these
+machines still send requests, and later than configApplyMs after the second
+version was acknowledged none may be run as only the first allows.
 """
 
 import os
@@ -12,85 +15,92 @@
 import threading
 import time
 
-from platform_standin import (LARGE_BOUNDS, ask, await_service, make_config,
-                              run_case)
+from platform_standin import (GROWN_BOUNDS, ask, make_config, run_case,
+                              wait_until)
 
-GRACE_S = LARGE_BOUNDS["graceS"]
-DEADLINE_MS = 5000
-# SIGTERM comes this long after a readiness question, so that the second one that
-# is missed comes 1.95 s after SIGTERM; the requests are sent before that.
-AFTER_QUESTION_S = 0.05
-SENT_AFTER_S = 1.85
-WORK_S = 4.2
-CLIENTS = 5
+MACHINES = 64
+# Two of 16 workers of a service: a share of 0.125.
+CRASHED = 2
+SERVICES = ("board", "desk", "press", "hall")
+APPLY_S = GROWN_BOUNDS["configApplyMs"] / 1000
+STABLE_WINDOW_S = GROWN_BOUNDS["stableWindowMs"] / 1000
+# Seconds after the acknowledgement of the second version.
+ASKED_AT = (APPLY_S + 0.5, APPLY_S + 4.0, APPLY_S + 8.0)
 
 
 def work(target):
-    return (WORK_S if target.startswith("/desk/long") else 0.01), 400
+    return 0.01, 100
 
 
 def play(record, deployment, has_trouble):
-    entry, entry_worker = deployment.add("entry", "board", work, LARGE_BOUNDS)
-    desk, desk_worker = deployment.add("desk", "desk", work, LARGE_BOUNDS)
-    deployment.store.put_operator("op/config", make_config(3, [
-        ("/desk/", "unsafe", "desk", DEADLINE_MS, 1),
-        ("/ready/", "safe", "desk", 2000, 2)]))
-    for node in deployment.nodes:
-        node.start()
-    time.sleep(0.5)
-    entry_worker.start_beats(entry.control)
-    desk_worker.start_beats(desk.control)
-    await_service(record, deployment, entry.outbound, "/ready/a")
-    # The platform asks once a second whether the node is ready. No process
-    # starts within stableWindowMs (4 s) before the requests.
-    asked = threading.Event()
-    misses = []
+    machines = [deployment.add(f"m{index}",
+                               SERVICES[index % len(SERVICES)], work,
+                               GROWN_BOUNDS)
+                for index in range(MACHINES)]
 
-    def ask_ready():
-        due = time.monotonic()
-        while not asked.wait(max(0.0, due - time.monotonic())):
-            is_ready = entry.is_ready()
-            misses.append(0 if is_ready else 1)
-            record(f"platform: GET /ready -> {'200' if is_ready else 'a miss'}")
-            due += 1.0
+    def configure(version, service):
+        deployment.store.put_operator("op/config", make_config(version, [
+            ("/moves/", "safe", service, 2000, 2),
+            ("/ready/", "safe", "desk", 2000, 2)]))
 
-    threading.Thread(target=ask_ready, daemon=True).start()
-    time.sleep(5.0 + AFTER_QUESTION_S)
-    stopped_at = time.monotonic()
+    configure(3, "board")
+    for node, _ in machines:
+        node.start()
+    time.sleep(1.0)
+    for node, worker in machines:
+        worker.start_beats(node.control)
+        time.sleep(0.02)
+    wait_until(lambda: all(node.is_ready() for node, _ in machines), 30.0,
+               "nodes ready")
+    time.sleep(6.0)
+    chosen = [pair for name in ("press", "board") for pair in
+              [each for each in machines if each[1].service == name][:CRASHED]]
     if has_trouble:
-        entry.signal(signal.SIGTERM)
-    time.sleep(SENT_AFTER_S)
-    if sum(misses[-2:]) > 1:
-        raise RuntimeError("the machine was taken out before the requests")
-    results = []
+        for node, worker in chosen:
+            record(f"worker {worker.service} {worker.instance}: crashes for "
+                   "good")
+            worker.stop_beats()
+            worker.stop()
+        for node, _ in chosen:
+            node.signal(signal.SIGTERM)
+        for node, _ in chosen:
+            node.process.wait(GROWN_BOUNDS["graceS"] + 1)
+            node.start()
+        wait_until(lambda: all(node.is_ready() for node, _ in chosen), 10.0,
+                   "nodes ready again")
+    time.sleep(STABLE_WINDOW_S + 2.0)
+    configure(5, "hall")
+    time.sleep(APPLY_S + 2.0)
+    configure(9, "desk")
+    acknowledged_at = time.monotonic()
+    faults = []
+    served = [0]
+    lock = threading.Lock()
 
-    def one():
-        sent = time.monotonic()
-        request, status = ask(record, entry.outbound, "POST", "/desk/long",
-                              DEADLINE_MS)
-        results.append((request, status, sent, time.monotonic()))
+    def check(node):
+        sent = time.monotonic() - acknowledged_at
+        request, _ = ask(record, node.outbound, "GET", "/moves/x", 2000)
+        ran_at = {worker.service for _, worker in machines
+                  if worker.runs_of(request)}
+        with lock:
+            served[0] += "desk" in ran_at
+            for service in ran_at - {"desk"}:
+                faults.append(
+                    f"CONFIG: id={request}, sent at {node.name} {sent:.2f} s "
+                    f"after version 9 was acknowledged, was run by {service}, "
+                    "as only version 5 allows; configApplyMs "
+                    f"{GROWN_BOUNDS['configApplyMs']}")
 
-    clients = [threading.Thread(target=one) for _ in range(CLIENTS)]
-    for client in clients:
-        client.start()
-    for client in clients:
-        client.join()
-    asked.set()
-    faults = []
-    last_sixth = stopped_at + GRACE_S * 5 / 6
-    for request, status, sent, ended in results:
-        runs = desk_worker.runs_of(request)
-        run_end = max((run["ended"] or ended for run in runs), default=0)
-        is_excused = (
-            run_end >= last_sixth and sent - stopped_at <= 3 or
-            ended - sent >= DEADLINE_MS / 1000)
-        if status == 200 or not runs or is_excused:
-            continue
-        faults.append(
-            f"LOST: id={request} was sent {sent - stopped_at:.2f} s after "
-            f"SIGTERM, was passed on to its worker, and ended "
-            f"{'without an answer' if status is None else status} "
-            f"{ended - stopped_at:.2f} s after SIGTERM; graceS {GRACE_S}")
+    for at in ASKED_AT:
+        time.sleep(max(0.0, acknowledged_at + at - time.monotonic()))
+        checks = [threading.Thread(target=check, args=(node,))
+                  for node, _ in machines]
+        for each in checks:
+            each.start()
+        for each in checks:
+            each.join()
+    if served[0] == 0:
+        raise RuntimeError("no request was served")
     return faults
 
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,88 +1,97 @@
-"""DRAIN: after its process was killed, a node acknowledges that its worker is
-gone and then sends it new work.
+"""LOST: a planned stop cuts requests long before the grace time is over.
 
-Three machines: `entry`, which takes the clients' requests, and `desk-1` and
-`desk-2` with a worker each. The process on `desk-1` is killed and started
-again. Before its next heartbeat the worker there leaves with DELETE and gets
-its acknowledgement; a heartbeat that it sent before arrives late. The worker
-goes on serving for some seconds. Later than drainMs after the acknowledgement
-no request may reach it.
+Two machines: `entry`, which takes the clients' requests, and `desk`, beside
+whose node the worker runs. graceS is 10. `entry` gets SIGTERM; requests that
+it accepts before the platform has taken it out (two readiness questions without
+a 200), and that their worker answers 4.2 s later, have to be answered.
 """
 
 import os
 import signal
 import sys
+import threading
 import time
 
-from platform_standin import (ask, await_service, make_config, run_case,
-                              wait_until)
+from platform_standin import (LARGE_BOUNDS, ask, await_service, make_config,
+                              run_case)
 
-DRAIN_S = 2.0
-STABLE_WINDOW_S = 3.0
-# How late the last heartbeat arrives, after the DELETE.
-BEAT_LATE_S = 1.0
-# How long the worker serves after its acknowledgement.
-SERVES_S = 9.0
-REQUESTS = 40
+GRACE_S = LARGE_BOUNDS["graceS"]
+DEADLINE_MS = 5000
+# SIGTERM comes this long after a readiness question, so that the second one that
+# is missed comes 1.95 s after SIGTERM; the requests are sent before that.
+AFTER_QUESTION_S = 0.05
+SENT_AFTER_S = 1.85
+WORK_S = 4.2
+CLIENTS = 5
 
 
 def work(target):
-    return 0.02, 400
+    return (WORK_S if target.startswith("/desk/long") else 0.01), 400
 
 
 def play(record, deployment, has_trouble):
-    entry, entry_worker = deployment.add("entry", "board", work)
-    desk, leaver = deployment.add("desk-1", "desk", work)
-    other, other_worker = deployment.add("desk-2", "desk", work)
+    entry, entry_worker = deployment.add("entry", "board", work, LARGE_BOUNDS)
+    desk, desk_worker = deployment.add("desk", "desk", work, LARGE_BOUNDS)
     deployment.store.put_operator("op/config", make_config(3, [
-        ("/desk/", "unsafe", "desk", 2000, 1),
+        ("/desk/", "unsafe", "desk", DEADLINE_MS, 1),
         ("/ready/", "safe", "desk", 2000, 2)]))
     for node in deployment.nodes:
         node.start()
     time.sleep(0.5)
     entry_worker.start_beats(entry.control)
-    leaver.start_beats(desk.control)
-    other_worker.start_beats(other.control)
+    desk_worker.start_beats(desk.control)
     await_service(record, deployment, entry.outbound, "/ready/a")
-    time.sleep(5.0)
-    leaver.stop_beats()
-    time.sleep(1.0)
+    # The platform asks once a second whether the node is ready. No process
+    # starts within stableWindowMs (4 s) before the requests.
+    asked = threading.Event()
+    misses = []
+
+    def ask_ready():
+        due = time.monotonic()
+        while not asked.wait(max(0.0, due - time.monotonic())):
+            is_ready = entry.is_ready()
+            misses.append(0 if is_ready else 1)
+            record(f"platform: GET /ready -> {'200' if is_ready else 'a miss'}")
+            due += 1.0
+
+    threading.Thread(target=ask_ready, daemon=True).start()
+    time.sleep(5.0 + AFTER_QUESTION_S)
+    stopped_at = time.monotonic()
     if has_trouble:
-        desk.signal(signal.SIGKILL)
-        desk.process.wait()
-        time.sleep(0.5)
-        desk.start()
-        wait_until(desk.is_ready, 5.0, "desk-1 ready again")
-        time.sleep(0.2)
-    started_at = time.monotonic()
-    # The number that the late heartbeat was sent with.
-    leaver.sequence += 1
-    late_sequence = leaver.sequence
-    status = leaver.leave(desk.control)
-    if status != 200:
-        raise RuntimeError(f"the DELETE was answered {status}")
-    acknowledged_at = time.monotonic()
-    time.sleep(BEAT_LATE_S)
-    record("the heartbeat that was sent before the DELETE arrives")
-    leaver.beat(desk.control, sequence=late_sequence)
-    # All machines are in touch, and drainMs is over.
-    calm_at = max(started_at + STABLE_WINDOW_S, acknowledged_at + DRAIN_S) + 0.5
-    time.sleep(max(0.0, calm_at - time.monotonic()))
-    served = 0
-    for _ in range(REQUESTS):
-        request, status = ask(record, entry.outbound, "POST", "/desk/job", 2000)
-        served += status == 200
-        time.sleep(0.05)
-    if time.monotonic() > acknowledged_at + SERVES_S:
-        raise RuntimeError("the requests took longer than the worker serves")
-    if served == 0:
-        raise RuntimeError("no request was served")
-    late = [run for run in leaver.runs
-            if run["arrived"] > acknowledged_at + DRAIN_S
-            and run["target"] == "/desk/job"]
-    return [f"DRAIN: id={run['id']} reached {leaver.instance} "
-            f"{run['arrived'] - acknowledged_at:.2f} s after its leaving was "
-            f"acknowledged; drainMs 2000" for run in late]
+        entry.signal(signal.SIGTERM)
+    time.sleep(SENT_AFTER_S)
+    if sum(misses[-2:]) > 1:
+        raise RuntimeError("the machine was taken out before the requests")
+    results = []
+
+    def one():
+        sent = time.monotonic()
+        request, status = ask(record, entry.outbound, "POST", "/desk/long",
+                              DEADLINE_MS)
+        results.append((request, status, sent, time.monotonic()))
+
+    clients = [threading.Thread(target=one) for _ in range(CLIENTS)]
+    for client in clients:
+        client.start()
+    for client in clients:
+        client.join()
+    asked.set()
+    faults = []
+    last_sixth = stopped_at + GRACE_S * 5 / 6
+    for request, status, sent, ended in results:
+        runs = desk_worker.runs_of(request)
+        run_end = max((run["ended"] or ended for run in runs), default=0)
+        is_excused = (
+            run_end >= last_sixth and sent - stopped_at <= 3 or
+            ended - sent >= DEADLINE_MS / 1000)
+        if status == 200 or not runs or is_excused:
+            continue
+        faults.append(
+            f"LOST: id={request} was sent {sent - stopped_at:.2f} s after "
+            f"SIGTERM, was passed on to its worker, and ended "
+            f"{'without an answer' if status is None else status} "
+            f"{ended - stopped_at:.2f} s after SIGTERM; graceS {GRACE_S}")
+    return faults
 
 
 if __name__ == "__main__":
--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -482,16 +482,23 @@
     return re.sub(r"\{\{([\w.]+)(\|json)?\}\}", value_of, text)
 
 
+# First ports of the ranges that have been given out.
+taken_ports = []
+
+
 def free_ports(host, count):
-    """Consecutive free ports at this address."""
+    """Consecutive free ports at this address, not given out before."""
     while True:
-        first = random.randrange(21000, 30000)
+        first = random.randrange(20000, 32000)
+        if any(abs(first - taken) < count for taken in taken_ports):
+            continue
         held = []
         try:
             for port in range(first, first + count):
                 holder = socket.socket()
                 held.append(holder)
                 holder.bind((host, port))
+            taken_ports.append(first)
             return first
         except OSError:
             continue
@@ -507,6 +514,10 @@
     "configApplyMs": 2000, "rollbackSlackMs": 250, "maxStretchMs": 5000,
     "budgetRatio": 0.2, "budgetWindowS": 10, "budgetExtra": 48,
     "recoverS": 15}
+# Those of the grown deployments of 66 to 75 machines.
+GROWN_BOUNDS = dict(
+    SMALL_BOUNDS, ackMs=5000, catchUpS=6, drainMs=2500, configApplyMs=2500,
+    budgetExtra=102)
 # Those of rota-main-large.
 LARGE_BOUNDS = dict(
     SMALL_BOUNDS, stableWindowMs=4000, ackMs=5000, catchUpS=6, drainMs=3000,
