--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,108 +1,110 @@
-"""LOST: a stopping node takes a request from a connection that it is about to
-close, passes it on, and closes the connection without an answer.
+"""CONFIG: a worker whose bytes have no end keeps a request past its deadline.
 
-Two machines: `entry`, which takes the client's requests, and `board`, beside
-whose node the worker runs. The client sends two `safe` requests on one
-connection, the second before the first has been answered completely, and reads
-slowly. `entry` gets SIGTERM while the worker is at work on the first.
+Two machines: `entry`, which takes the clients' requests and beside which the
+worker runs, and `other`. The worker answers with bytes without end, until its
+caller closes the connection: interim answers, or a body in small chunks. Every
+request has to be answered at its route's timeoutMs, half a second later at most.
 """
 
 import os
-import select
-import signal
 import sys
 import threading
 import time
 
-from platform_standin import (ConnectionEnded, HttpReader, await_service,
-                              connect, make_config, new_id, request_bytes,
+from platform_standin import (Worker, ask, await_service, make_config,
                               run_case)
 
-CLIENTS = 6
-FIRST_WORK_S = 0.5
-STOP_AFTER_S = 0.2
-# From when the first bytes of the first answer wait to be read.
-SECOND_AFTER_S = 0.3
-READ_AFTER_S = 0.8
-# More than the sockets of both ends hold with a small window, so that the answer
-# waits for the client to read.
-FIRST_BYTES = 100_000
+TIMEOUT_MS = 1000
+LATE_S = 0.5
+# The worker gives up by itself after this time.
+ENDLESS_S = 12.0
+REQUESTS = 10
+
+HEADS = b"HTTP/1.1 100 Continue\r\n\r\n" * 4000
+BODY_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+CHUNKS = b"1\r\na\r\n" * 15000
+
+
+class EndlessWorker(Worker):
+    """Sends bytes without end to requests below /desk/heads and /desk/body."""
+
+    has_trouble = True
+
+    def handle(self, connection, method, target, headers, body):
+        if not target.startswith(("/desk/heads", "/desk/body")):
+            return super().handle(connection, method, target, headers, body)
+        request = headers.get("plantaintally-request-id", "")
+        with self.lock:
+            self.runs.append({"id": request, "target": target,
+                              "arrived": time.monotonic(), "ended": None})
+        self.record(f"worker: got {target} id={request}")
+        ends = time.monotonic() + ENDLESS_S
+        sent = 0
+        connection.settimeout(ENDLESS_S)
+        try:
+            if not self.has_trouble:
+                # Answers nothing; sees the caller close the connection.
+                connection.recv(1)
+                return False
+            if target.startswith("/desk/body"):
+                connection.sendall(BODY_HEAD)
+            piece = HEADS if target.startswith("/desk/heads") else CHUNKS
+            while time.monotonic() < ends:
+                connection.sendall(piece)
+                sent += len(piece)
+            self.record(f"worker: gives up id={request}, {sent} bytes sent")
+        except OSError:
+            self.record(f"worker: its caller closed the connection of "
+                        f"id={request}, {sent} bytes sent")
+        return False
 
 
 def work(target):
-    if target.startswith("/board/first"):
-        return FIRST_WORK_S, FIRST_BYTES
     return 0.02, 400
 
 
 def play(record, deployment, has_trouble):
-    entry, entry_worker = deployment.add("entry", "desk", work)
-    board, worker = deployment.add("board", "board", work)
+    EndlessWorker.has_trouble = has_trouble
+    entry, worker = deployment.add("entry", "desk", work,
+                                   worker_type=EndlessWorker)
+    other, other_worker = deployment.add("other", "board", work)
     deployment.store.put_operator("op/config", make_config(3, [
-        ("/board/", "safe", "board", 5000, 2),
+        ("/desk/", "unsafe", "desk", TIMEOUT_MS, 1),
         ("/ready/", "safe", "board", 2000, 2)]))
     for node in deployment.nodes:
         node.start()
     time.sleep(0.5)
-    entry_worker.start_beats(entry.control)
-    worker.start_beats(board.control)
+    worker.start_beats(entry.control)
+    other_worker.start_beats(other.control)
     await_service(record, deployment, entry.outbound, "/ready/a")
-    # No start of a process within stableWindowMs (3 s) before the requests.
     time.sleep(4.0)
     results = []
 
-    def one():
-        first, second = new_id(), new_id()
-        got = {first: None, second: None}
-        with connect(entry.outbound, has_small_window=True) as connection:
-            start = time.monotonic()
-            record(f"client: sends GET /board/first id={first}")
-            connection.sendall(
-                request_bytes("GET", "/board/first", first, 5000))
-            # The client has not read anything of the first answer, and so not
-            # its `Connection: close`, when it sends the second request.
-            select.select([connection], [], [], 4.0)
-            begun = time.monotonic()
-            time.sleep(SECOND_AFTER_S)
-            record(f"client: sends GET /board/second id={second} behind it")
-            connection.sendall(
-                request_bytes("GET", "/board/second", second, 5000))
-            time.sleep(max(0.0, begun + READ_AFTER_S - time.monotonic()))
-            reader = HttpReader(connection)
-            ended = None
-            try:
-                for request in (first, second):
-                    line, headers, body = reader.read_message()
-                    got[request] = int(line.split(" ")[1])
-                    record(f"client: id={request} is answered {line}, "
-                           f"{len(body)} bytes, Connection "
-                           f"{headers.get('connection', 'kept')}")
-            except (ConnectionEnded, OSError) as cause:
-                ended = cause
-            took = time.monotonic() - start
-            if ended is not None:
-                record(f"client: the connection ends: {ended}")
-            results.append((first, second, got, took))
-
-    clients = [threading.Thread(target=one) for _ in range(CLIENTS)]
+    def one(target):
+        sent = time.monotonic()
+        request, status = ask(record, entry.outbound, "POST", target,
+                              TIMEOUT_MS, timeout=ENDLESS_S + 8)
+        results.append((request, status, time.monotonic() - sent))
+
+    clients = [threading.Thread(
+        target=one, args=("/desk/heads" if index % 2 else "/desk/body",))
+        for index in range(REQUESTS)]
     for client in clients:
         client.start()
-    if has_trouble:
-        time.sleep(STOP_AFTER_S)
-        entry.signal(signal.SIGTERM)
     for client in clients:
         client.join()
-    if len(results) != CLIENTS or any(
-            got[first] != 200 for first, _, got, _ in results):
-        raise RuntimeError("a first request was not served")
-    faults = []
-    for first, second, got, took in results:
-        runs = worker.runs_of(second)
-        if got[second] is None and runs and took < 5.0:
-            faults.append(
-                f"LOST: id={second} was read, passed on to its worker, which "
-                f"ran it, and the connection ended without an answer to it")
-    return faults
+    reached = [each for each in results if worker.runs_of(each[0])]
+    if len(reached) < 8:
+        raise RuntimeError("too few requests reached the worker")
+    unanswered = [each for each in reached if each[2] > TIMEOUT_MS / 1000]
+    late = [each for each in unanswered
+            if each[2] > TIMEOUT_MS / 1000 + LATE_S]
+    if len(late) * 2 <= len(unanswered) or len(late) < 8:
+        return []
+    return [f"CONFIG: {len(late)} of {len(unanswered)} requests unanswered at "
+            f"timeoutMs {TIMEOUT_MS} had no answer half a second later: "
+            + ", ".join(f"id={request} {status} after {took:.2f} s"
+                        for request, status, took in late)]
 
 
 if __name__ == "__main__":
--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -620,11 +620,12 @@
         self.nodes = []
         self.servers = [self.store]
 
-    def add(self, name, service, work, bounds=SMALL_BOUNDS):
+    def add(self, name, service, work, bounds=SMALL_BOUNDS,
+            worker_type=Worker):
         node = Node(self.record, self.store, name, service, bounds,
                     self.folder)
         host, port = node.app_address.rsplit(":", 1)
-        worker = Worker(self.record, host, int(port), service, work)
+        worker = worker_type(self.record, host, int(port), service, work)
         self.nodes.append(node)
         self.servers.append(worker)
         return node, worker
