--- a/review/1/case.py
+++ b/review/1/case.py
@@ -61,11 +61,13 @@
                    "good")
             worker.stop_beats()
             worker.stop()
-        for node, _ in chosen:
-            node.signal(signal.SIGTERM)
-        for node, _ in chosen:
-            node.process.wait(GROWN_BOUNDS["graceS"] + 1)
-            node.start()
+        for first in range(0, len(chosen), 2):
+            pair = chosen[first:first + 2]
+            for node, _ in pair:
+                node.signal(signal.SIGTERM)
+            for node, _ in pair:
+                node.process.wait(GROWN_BOUNDS["graceS"] + 1)
+                node.start()
         wait_until(lambda: all(node.is_ready() for node, _ in chosen), 10.0,
                    "nodes ready again")
     time.sleep(STABLE_WINDOW_S + 2.0)
--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -122,6 +122,7 @@
         self.listener.listen(256)
         self.address = "%s:%d" % self.listener.getsockname()
         self.is_stopped = False
+        self.connections = set()
         threading.Thread(target=self._accept, daemon=True).start()
 
     def _accept(self):
@@ -131,6 +132,7 @@
             except OSError:
                 return
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.connections.add(connection)
             threading.Thread(
                 target=self._serve, args=(connection,), daemon=True).start()
 
@@ -145,14 +147,21 @@
         except (ConnectionEnded, OSError, ValueError):
             pass
         finally:
+            self.connections.discard(connection)
             connection.close()
 
     def handle(self, connection, method, target, headers, body):
         raise NotImplementedError
 
     def stop(self):
+        """Ends like a process that crashed: all connections are closed."""
         self.is_stopped = True
         self.listener.close()
+        for connection in list(self.connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
 
 
 # --- The platform's store ----------------------------------------------------
