Log why a listener refuses input

A caller that was answered 400, 413 or 431 could not be found in the log of the node that refused it: only the metric input_refused_total counts such input, and the node that forwarded a request learns no more than that a peer refused it. Requests denied at the entrance, at a peer's listener and by the upstream could not be told apart.

Each refused input now gives one line at level debug with the listener, the reason and the sender.

--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -3,6 +3,7 @@
 #include "drivers/internal/arrival.hpp"
 #include "drivers/internal/peek.hpp"
 #include "drivers/internal/response_writer.hpp"
+#include "logging/logging.hpp"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -254,7 +255,7 @@
     auto arrived = this->parse(request);
     if (!arrived)
     {
-        this->count_refused_input("bad-head");
+        this->note_refused_input("bad-head", arrived.error().message);
         accepted_request.recipient.trace_id = this->services.make_trace_id();
         accepted_request.content = exchange_reply(drivers::refuse_input(
             bad_request, refusal::bad_request, arrived.error().message));
@@ -408,8 +409,9 @@
     {
         return;
     }
-    this->count_refused_input(to_string(failure));
     auto refused = refusal_for(failure);
+    this->note_refused_input(to_string(failure),
+                             refused ? refused->detail : "no answer");
     if (!refused)
     {
         return this->abandon_pending();
@@ -438,13 +440,19 @@
                      : parse_request(request, this->origin());
 }
 
-void session::count_refused_input(std::string_view reason)
+void session::note_refused_input(std::string_view reason,
+                                 std::string_view detail)
 {
-    this->services.driver_metrics.add({"input_refused_total",
-                                       "listener",
-                                       this->services.listener_name,
-                                       "reason",
-                                       reason});
+    auto const listener_name = this->services.listener_name;
+    this->services.driver_metrics.add(
+        {"input_refused_total", "listener", listener_name, "reason", reason});
+    logging::write({logging::level::debug,
+                    "drivers",
+                    "input-refused",
+                    {{"listener", std::string(listener_name)},
+                     {"reason", std::string(reason)},
+                     {"sender", this->remote_ip},
+                     {"detail", std::string(detail)}}});
 }
 
 request_origin session::origin() const
--- a/src/drivers/internal/session.hpp
+++ b/src/drivers/internal/session.hpp
@@ -120,7 +120,8 @@
                                       bool is_keep_alive);
     asio::awaitable<bool> write(outgoing_answer content);
     void handle_read_failure(read_failure failure);
-    void count_refused_input(std::string_view reason);
+    // Counts and logs input that reached no decision.
+    void note_refused_input(std::string_view reason, std::string_view detail);
     [[nodiscard]] result<parsed_request>
     parse(incoming_request const& request) const;
     [[nodiscard]] request_origin origin() const;
