Forward callers' headers that nodes use between themselves

A caller that sent its own X-Request-Id was answered 400 although its request was proper, whenever the request passed through a second node; with its own Idempotency-Key it was answered 504, and the request had not run.

Cause: the node at the entrance added its own headers for the next node beside those of the caller. The next node took both for one and refused the duplicate X-Request-Id, or took the caller's Idempotency-Key for a key of the protocol between nodes, which is off on the platform.

Between nodes, a caller's header with a name that nodes interpret now has a prefix, and the receiver restores the name, so that the upstream gets it as it was sent. The prefix is accepted from nodes only.

--- a/src/codec/hop_headers.hpp
+++ b/src/codec/hop_headers.hpp
@@ -17,6 +17,9 @@
 
 inline constexpr std::string_view hop_header = "Plantaintally-Hop";
 inline constexpr std::string_view report_header = "Plantaintally-Report";
+// Between nodes, precedes the name of a caller's header that nodes would
+// otherwise interpret as their own.
+inline constexpr std::string_view forwarded_prefix = "Plantaintally-Forwarded-";
 
 struct header_field
 {
--- a/src/drivers/internal/arrival.cpp
+++ b/src/drivers/internal/arrival.cpp
@@ -69,6 +69,24 @@
     return forwardable;
 }
 
+// Restores the names that to_peer_header() has changed.
+std::vector<header_field>
+headers_from_peer(std::vector<header_field> const& headers)
+{
+    auto restored = forwarded_headers(headers);
+    for (auto const& header : headers)
+    {
+        if (codec::has_prefix_ignoring_case(header.name,
+                                            codec::forwarded_prefix))
+        {
+            restored.push_back(
+                {header.name.substr(codec::forwarded_prefix.size()),
+                 header.value});
+        }
+    }
+    return restored;
+}
+
 bool is_visible_ascii(std::string_view text)
 {
     constexpr char first = '!';
@@ -263,9 +281,13 @@
                    caller_of(request, origin),
                    time_left.value(),
                    request.body.size()};
-    parsed.forwarded_headers = forwarded_headers(headers);
-    if (origin.source == request_source::peer)
+    if (origin.source != request_source::peer)
+    {
+        parsed.forwarded_headers = forwarded_headers(headers);
+    }
+    else
     {
+        parsed.forwarded_headers = headers_from_peer(headers);
         auto hop = codec::decode_hop_context(headers);
         if (!hop)
         {
@@ -276,6 +298,16 @@
     return parsed;
 }
 
+header_field to_peer_header(header_field const& forwarded)
+{
+    if (!is_node_header(forwarded.name))
+    {
+        return forwarded;
+    }
+    return {std::string(codec::forwarded_prefix) + forwarded.name,
+            forwarded.value};
+}
+
 std::vector<header_field>
 forwarded_answer_headers(std::vector<header_field> const& headers)
 {
--- a/src/drivers/internal/arrival.hpp
+++ b/src/drivers/internal/arrival.hpp
@@ -19,6 +19,10 @@
 result<parsed_request> parse_request(incoming_request const& request,
                                      request_origin const& origin);
 
+// Returns a caller's header as it is sent to another node. The receiver
+// restores the name.
+header_field to_peer_header(header_field const& forwarded);
+
 // Returns the headers of an upstream's response that are forwarded to the
 // caller: all but hop-by-hop headers and those that nodes set.
 std::vector<header_field>
--- a/src/drivers/internal/attempts.cpp
+++ b/src/drivers/internal/attempts.cpp
@@ -2,9 +2,12 @@
 
 #include "codec/hop_headers.hpp"
 #include "drivers/internal/answer_headers.hpp"
+#include "drivers/internal/arrival.hpp"
 #include "logging/logging.hpp"
 
+#include <algorithm>
 #include <exception>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -27,9 +30,9 @@
     {
         request.headers.push_back({"Idempotency-Key", head.idempotency_key});
     }
-    request.headers.insert(request.headers.end(),
-                           exchange_record.forwarded_headers.begin(),
-                           exchange_record.forwarded_headers.end());
+    std::ranges::transform(exchange_record.forwarded_headers,
+                           std::back_inserter(request.headers),
+                           to_peer_header);
     return request;
 }
 
