Don't answer a caller 4xx because a peer could not read its request

A caller whose request was proper was answered 400 or 413 when the next node could not read what it was sent: a header or body that came too slowly (answered 408 by that node), headers over its limit (431), a head that it takes for malformed (400). Callers don't repeat a request after these.

Cause: the reason in a peer's report was taken over as the reason of the request, whether it was about the caller's request or about the connection between two nodes; the status at the entrance follows from the reason.

A request that was accepted at the entrance is valid from then on. A peer's refusal of the input is now a failed attempt that has not run: another member is tried within the request's attempts and budget, and the last answer is 503 with a time to come back. The line node refused says what the peer stated.

--- a/src/node/internal/attempt.cpp
+++ b/src/node/internal/attempt.cpp
@@ -228,6 +228,17 @@
         retry::returned_budget(attempt.passed_retries, report.retries_left);
 }
 
+// The reason with which a request fails here that a peer has refused. The
+// request was valid when it entered the fleet, so a peer that can't read it has
+// failed, and the caller has made no mistake.
+refusal reason_at_sender(refusal stated)
+{
+    bool const is_about_input = stated == refusal::bad_request ||
+                                stated == refusal::too_large ||
+                                stated == refusal::no_route;
+    return is_about_input ? refusal::attempt_failed : stated;
+}
+
 void handle_peer_answer(state& node,
                         exchange& request,
                         running_attempt const& attempt,
@@ -238,7 +249,6 @@
     note_peer_report(node, request, attempt, report, current);
     attempt_result result;
     result.outcome = report.outcome;
-    result.reason = report.reason;
     result.status = answered.status;
     result.retry_after = report.retry_after;
     result.lacks_capacity = report.lacks_capacity;
@@ -248,7 +258,12 @@
         result.owns_answer = true;
         return retry_or_conclude(node, request, result, current);
     }
+    result.reason = reason_at_sender(*report.reason);
     result.detail = "refused by " + attempt.peer;
+    if (result.reason != report.reason)
+    {
+        result.detail += " as " + std::string(to_string(*report.reason));
+    }
     result.is_undelivered = !report.has_reached_upstream;
     result.is_peer_verdict = true;
     result.level = report.admission_level;
--- a/src/node/tests/truthful_refusal_test.cpp
+++ b/src/node/tests/truthful_refusal_test.cpp
@@ -3,6 +3,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <set>
+
 using namespace plantaintally;
 using namespace plantaintally::node;
 using namespace std::chrono_literals;
@@ -111,3 +113,57 @@
         CHECK(fleet.executions("a", "t" + std::to_string(i)) <= 1);
     }
 }
+
+TEST_CASE("a request that no peer can read is not refused as malformed")
+{
+    virtual_fleet fleet(default_settings());
+    fleet.add(plan_of("edge"));
+    fleet.add(plan_of("c"));
+    fleet.add(plan_of("c"));
+    fleet.form();
+    state& entrance = fleet.node(0);
+    for (refusal const reason : {refusal::bad_request, refusal::too_large})
+    {
+        request_arrived arrived;
+        arrived.exchange =
+            exchange_id{900'001 + static_cast<std::uint64_t>(reason)};
+        arrived.head = make_head("c", "/book", "t1", "POST");
+        instant now = fleet.now();
+        auto sent = effects_of<forward_request>(entrance, arrived, now);
+        std::set<std::string> asked;
+        std::vector<refuse_request> refused;
+        while (refused.empty())
+        {
+            if (!sent.empty())
+            {
+                asked.insert(sent[0].peer_address);
+                attempt_answered unread;
+                unread.attempt = sent[0].attempt;
+                unread.status = 400;
+                unread.report.emplace();
+                unread.report->outcome = verdict::not_run;
+                unread.report->reason = reason;
+                refused = effects_of<refuse_request>(entrance, unread, now);
+                sent.clear();
+                continue;
+            }
+            now += 10ms;
+            REQUIRE(now < fleet.now() + 10s);
+            auto const out = reduce(entrance, timer_fired{}, moment{now, {}});
+            for (effect const& emitted : out)
+            {
+                if (auto const* again = std::get_if<forward_request>(&emitted))
+                {
+                    sent.push_back(*again);
+                }
+                if (auto const* ended = std::get_if<refuse_request>(&emitted))
+                {
+                    refused.push_back(*ended);
+                }
+            }
+        }
+        CHECK(asked.size() == 2);
+        CHECK(refused[0].status == 503);
+        CHECK(refused[0].report.outcome == verdict::not_run);
+    }
+}
