Let nodes accept heads that have the callers' maximum size plus the hop's

A caller whose request line and headers were within the configured limit, but within a few hundred bytes of it, was denied (413, and 503 since peers' refusals of input are failed attempts) when its request passed through a second node. If operators allow larger heads than the node's own setting, this concerned all heads in between.

Cause: a node accepted no larger heads from nodes than from callers, although the sender adds its own headers, and it did not apply the operators' limit to them.

Nodes now accept the larger of the two limits from one another, plus 4 KiB for the headers of the hop, for requests and for answers.

--- a/src/drivers/internal/carry_out.cpp
+++ b/src/drivers/internal/carry_out.cpp
@@ -81,6 +81,7 @@
 void engine::carry_out(limit_callers const& effect)
 {
     this->caller_sessions.limits = this->caller_read_limits(effect.limits);
+    this->peer_sessions.limits = this->peer_read_limits(effect.limits);
 }
 
 void engine::carry_out(answer_operator const& effect)
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -50,7 +50,7 @@
           this->tasks,
           this->driver_metrics,
           this->pool_options("platform", new_config.platform.max_connections)),
-      peer_client(this->peer_pool, this->client_limits(false)),
+      peer_client(this->peer_pool, this->peer_client_limits()),
       upstream_client(
           this->upstream_pool,
           this->client_limits(
@@ -113,6 +113,7 @@
                               new_config.limits.max_local_connections,
                               this->local_sessions))
 {
+    this->peer_sessions.limits = this->peer_read_limits({});
     this->local_sessions.handle_locally =
         [this](incoming_request const& request)
     {
--- a/src/drivers/internal/engine.hpp
+++ b/src/drivers/internal/engine.hpp
@@ -124,6 +124,7 @@
                                           std::uint32_t limit) const;
     http_client::limits
     client_limits(bool allows_close_delimited_answers) const;
+    http_client::limits peer_client_limits() const;
     session_services make_session_services(request_source source,
                                            std::string_view name);
     listener make_listener(std::string_view name,
@@ -141,6 +142,9 @@
     std::vector<listener*> all_listeners();
     read_limits
     caller_read_limits(routes::caller_limits const& configured) const;
+    // Limits for requests from other nodes: all that callers may send, and the
+    // headers of the hop.
+    read_limits peer_read_limits(routes::caller_limits const& configured) const;
     std::vector<node::statistic> collect_metrics();
     asio::awaitable<void> run_housekeeping();
     void begin_exit();
--- a/src/drivers/internal/engine_parts.cpp
+++ b/src/drivers/internal/engine_parts.cpp
@@ -15,6 +15,8 @@
 // Buffer space for the part of a response's body that is read together with the
 // headers.
 constexpr std::size_t answer_buffer_bytes = 64U << 10U;
+// Space for the headers that nodes add to a request or an answer.
+constexpr std::uint32_t hop_header_bytes = 4U << 10U;
 
 asio::awaitable<void> serve_session(tcp::socket accepted,
                                     session_services& services)
@@ -50,6 +52,13 @@
             allows_close_delimited_answers};
 }
 
+http_client::limits engine::peer_client_limits() const
+{
+    auto limits = this->client_limits(false);
+    limits.max_header_bytes += hop_header_bytes;
+    return limits;
+}
+
 session_services engine::make_session_services(request_source source,
                                                std::string_view name)
 {
@@ -127,6 +136,19 @@
     return all;
 }
 
+read_limits
+engine::peer_read_limits(routes::caller_limits const& configured) const
+{
+    auto const& limits = this->config.limits;
+    return {std::max(limits.max_header_bytes, configured.max_header_bytes) +
+                hop_header_bytes,
+            limits.max_body_bytes,
+            limits.idle_timeout,
+            limits.header_timeout,
+            limits.body_timeout,
+            this->held_bodies};
+}
+
 read_limits
 engine::caller_read_limits(routes::caller_limits const& configured) const
 {
