Accept from other nodes the targets that the entrance accepts

A caller whose path has bytes beyond ASCII was denied with 400, and with 503 since peers' refusals of input are failed attempts, when its request passed through a second node; through one node it was served. The platform has paths forwarded unchanged and does not restrict them to ASCII.

Cause: the parser of requests between nodes applied the rule of the native interface for targets, which is stricter than the platform's.

The entrance alone decides which targets are valid. A target from another node must still be a path; characters that end a target never get past the HTTP parser.

--- a/src/drivers/internal/arrival.cpp
+++ b/src/drivers/internal/arrival.cpp
@@ -131,9 +131,13 @@
     return {};
 }
 
-std::string check_head(incoming_request const& request)
+std::string check_head(incoming_request const& request, request_source source)
 {
-    if (!request.target.starts_with('/') || !is_visible_ascii(request.target))
+    // What a target may contain was decided where the request entered the
+    // fleet.
+    bool const has_valid_characters =
+        source == request_source::peer || is_visible_ascii(request.target);
+    if (!request.target.starts_with('/') || !has_valid_characters)
     {
         return "the request's target is not a path";
     }
@@ -251,7 +255,7 @@
 result<parsed_request> parse_request(incoming_request const& request,
                                      request_origin const& origin)
 {
-    auto problem = check_head(request);
+    auto problem = check_head(request, origin.source);
     auto const& headers = request.headers;
     auto const trace_id = find_header(headers, "X-Request-Id");
     if (problem.empty() && trace_id.empty() &&
