Check the contact lists after the store lost its latest writes

Cause: a node reads the contact lists every 10 minutes once it knows peers. A store that loses acknowledged writes loses the lists, and nobody writes them again, so that a node that starts finds nobody.

Change: answers of the store carry its era, which rises with each restore. A node that finds itself listed counts as listed too. A store that states no era changes nothing.

Evidence: the new test in membership_test fails without the check (not joined within 10 s) and passes with it.

--- a/src/codec/internal/event_json.hpp
+++ b/src/codec/internal/event_json.hpp
@@ -28,7 +28,7 @@
     upstream_reported, "upstream_reported", report, life, phase, announcement)
 PLANTAINTALLY_JSON(health_hint, "health_hint", is_healthy, load_permille)
 PLANTAINTALLY_JSON(control_received, "control_received", envelope)
-PLANTAINTALLY_JSON(store_replied, "store_replied", call, client, result)
+PLANTAINTALLY_JSON(store_replied, "store_replied", call, client, result, era)
 PLANTAINTALLY_JSON(operator_command, "operator_command", command, text)
 PLANTAINTALLY_JSON_EMPTY(timer_fired, "timer_fired")
 PLANTAINTALLY_JSON_EMPTY(stop_requested, "stop_requested")
--- a/src/codec/internal/membership_json.hpp
+++ b/src/codec/internal/membership_json.hpp
@@ -55,7 +55,8 @@
                    view_hash,
                    configuration_revision,
                    routes_version,
-                   ends_watch)
+                   ends_watch,
+                   store_era)
 PLANTAINTALLY_JSON(membership::gossip, "gossip", news, is_repair)
 PLANTAINTALLY_JSON(membership::view_digest,
                    "view_digest",
@@ -63,5 +64,6 @@
                    services,
                    hashes,
                    is_reply)
+PLANTAINTALLY_JSON(membership::store_era_notice, "store_era_notice", era)
 
 } // namespace plantaintally::codec
--- a/src/codec/tests/control_codec_test.cpp
+++ b/src/codec/tests/control_codec_test.cpp
@@ -44,8 +44,13 @@
     switch (*rc::gen::inRange(0, 12))
     {
     case 0:
-        return membership::message(membership::heartbeat{
-            {7, 4'000'000'000}, arbitrary_records(), number, 7, flag});
+        return membership::message(membership::heartbeat{{7, 4'000'000'000},
+                                                         arbitrary_records(),
+                                                         number,
+                                                         7,
+                                                         5,
+                                                         flag,
+                                                         number});
     case 1:
         return membership::message(
             membership::gossip{arbitrary_records(), flag});
--- a/src/drivers/dialect.hpp
+++ b/src/drivers/dialect.hpp
@@ -130,6 +130,9 @@
         make_store_request;
     std::function<store_result(store_request const&, answer const&)>
         read_store_answer;
+    // Returns the era that an answer of the store states; zero if it states
+    // none.
+    std::function<std::uint64_t(answer const&)> read_store_era;
 };
 
 // The product's own interface, as described in docs/INTERFACES.md.
--- a/src/drivers/internal/native_dialect.cpp
+++ b/src/drivers/internal/native_dialect.cpp
@@ -60,6 +60,10 @@
     };
     native.make_store_request = make_store_request;
     native.read_store_answer = read_store_answer;
+    native.read_store_era = [](answer const&)
+    {
+        return std::uint64_t{0};
+    };
     return native;
 }
 
--- a/src/drivers/internal/platform_client.cpp
+++ b/src/drivers/internal/platform_client.cpp
@@ -315,19 +315,22 @@
                         {{"cause", cause.what()}}});
     }
     store_result result = store_unavailable{true};
+    std::uint64_t era = 0;
     if (auto const* const failure = std::get_if<call_failure>(&call_outcome))
     {
         result = store_unavailable{failure->is_written};
     }
     else
     {
+        auto const& received = std::get<answer>(call_outcome);
         result = this->dependencies.external_dialect.read_store_answer(
-            store_call.request, std::get<answer>(call_outcome));
+            store_call.request, received);
+        era = this->dependencies.external_dialect.read_store_era(received);
     }
     this->dependencies.driver_metrics.add(
         {"store_calls_total", "result", result_name(result), {}, {}});
-    this->dependencies.submit_event(
-        store_replied{store_call.call, store_call.client, std::move(result)});
+    this->dependencies.submit_event(store_replied{
+        store_call.call, store_call.client, std::move(result), era});
 }
 
 } // namespace plantaintally::drivers
--- a/src/membership/internal/contacts.cpp
+++ b/src/membership/internal/contacts.cpp
@@ -21,6 +21,9 @@
 constexpr duration min_retry_delay = std::chrono::seconds(1);
 constexpr duration max_retry_delay = std::chrono::seconds(60);
 constexpr double read_jitter = 0.5;
+// Listed nodes check the lists at random times within this window after the
+// store has come back from an older copy.
+constexpr duration recheck_window = std::chrono::seconds(1);
 // Maximum number of listed addresses contacted after one read.
 constexpr std::size_t max_contacted_nodes = 3;
 
@@ -128,6 +131,10 @@
 {
     std::vector<std::string> const listed = parse_lines(read.value);
     contact_unknown_nodes(membership, listed, current);
+    membership.contacts.is_listed =
+        std::find(listed.begin(),
+                  listed.end(),
+                  membership.startup_options.self.address) != listed.end();
     std::vector<std::string> const wanted =
         add_self_to_list(membership, listed);
     if (!wanted.empty())
@@ -251,6 +258,19 @@
     schedule_next(membership, read_interval, current);
 }
 
+void recheck_contacts(state& membership, step& current)
+{
+    if (!membership.contacts.is_listed)
+    {
+        return;
+    }
+    instant const due = current.now.monotonic +
+                        std::chrono::duration_cast<duration>(
+                            recheck_window * draw_fraction(current.random));
+    membership.contacts.next_read =
+        std::min(membership.contacts.next_read, due);
+}
+
 void handle_contacts(state& membership,
                      store_call_id call,
                      store_result const& result,
--- a/src/membership/internal/contacts.hpp
+++ b/src/membership/internal/contacts.hpp
@@ -31,6 +31,10 @@
 // Starts reading the contact lists if that is due.
 void refresh_contacts(state& membership, step& current);
 
+// Has the contact lists checked soon if this node was listed, since the
+// key-value store may have lost the entry.
+void recheck_contacts(state& membership, step& current);
+
 // Handles the result of a store call that was started for the contact lists;
 // ignores calls that were not.
 void handle_contacts(state& membership,
--- a/src/membership/internal/heartbeats.cpp
+++ b/src/membership/internal/heartbeats.cpp
@@ -44,6 +44,7 @@
     beat.view_hash = hash_service(membership, membership.self_record->service);
     beat.configuration_revision = membership.configuration_revision;
     beat.routes_version = membership.routes_version;
+    beat.store_era = membership.store_era;
     return beat;
 }
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -46,6 +46,13 @@
 // heartbeat::routes_version.
 void set_routes_version(state& membership, std::uint64_t version);
 
+// Handles the era that an answer of the key-value store states; zero is
+// ignored. A higher era than the one known means that the store has lost its
+// latest writes: peers are notified and the contact lists are checked.
+void note_store_era(state& membership, std::uint64_t era, step& current);
+// The highest known era of the key-value store; zero if unknown.
+std::uint64_t store_era(state const& membership);
+
 void handle_message(state& membership,
                     node_id const& sender,
                     message const& received,
--- a/src/membership/messages.hpp
+++ b/src/membership/messages.hpp
@@ -51,6 +51,8 @@
     // True if the receiver is no longer an outside watcher of the sender and
     // must not treat missing heartbeats as a failure.
     bool ends_watch = false;
+    // The era of the key-value store as known to the sender; zero if unknown.
+    std::uint64_t store_era = 0;
 
     bool operator==(heartbeat const&) const = default;
 };
@@ -88,6 +90,15 @@
     bool operator==(view_digest const&) const = default;
 };
 
-using message = std::variant<heartbeat, gossip, view_digest>;
+// States that the key-value store has come back from an older copy of its data,
+// so that nodes that seldom call it learn of this at once.
+struct store_era_notice
+{
+    std::uint64_t era = 0;
+
+    bool operator==(store_era_notice const&) const = default;
+};
+
+using message = std::variant<heartbeat, gossip, view_digest, store_era_notice>;
 
 } // namespace plantaintally::membership
--- a/src/membership/state.hpp
+++ b/src/membership/state.hpp
@@ -116,6 +116,8 @@
     std::map<store_call_id, store_call> calls;
     instant next_read{};
     duration retry_delay{};
+    // True if this node is on the list of its availability zone, as far as it
+    // knows.
     bool is_listed = false;
 };
 
@@ -156,6 +158,8 @@
     std::uint64_t configuration_revision = 0;
     // The version of the route table that heartbeats advertise.
     std::uint64_t routes_version = 0;
+    // The highest known era of the key-value store; zero if unknown.
+    std::uint64_t store_era = 0;
     // Bytes that gossip may send now; refilled at a constant rate.
     double gossip_allowance_bytes = 0;
     instant gossip_refilled_at{};
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -107,6 +107,22 @@
     CHECK(all.run_until([&] { return is_complete(all, 9); }, 30s));
 }
 
+TEST_CASE("a node joins although the store has lost the contact lists")
+{
+    fleet all(3);
+    auto const older = all.store;
+    for (int index = 1; index <= 6; ++index)
+    {
+        all.start_node(address_of(index), zone_of(index), "rota-board");
+    }
+    REQUIRE(all.run_until([&] { return is_complete(all, 6); }, 30s));
+    all.run_for(60s);
+    all.store.restore(older);
+    all.run_for(5s);
+    all.start_node(address_of(7), zone_of(7), "maps");
+    CHECK(all.run_until([&] { return is_complete(all, 7); }, 10s));
+}
+
 TEST_CASE("nodes that start during an outage of the store join after it")
 {
     fleet all(3);
--- a/src/messages/events.hpp
+++ b/src/messages/events.hpp
@@ -102,6 +102,9 @@
     store_call_id call;
     store_client client = store_client::membership;
     store_result result;
+    // The era that the store states in its answer: it rises each time that the
+    // store comes back from an older copy of its data. Zero if not stated.
+    std::uint64_t era = 0;
 };
 
 // The text of an operator's command was received on the local listener.
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -73,6 +73,7 @@
                         store_replied const& replied,
                         step& current)
 {
+    membership::note_store_era(node.membership, replied.era, current);
     switch (replied.client)
     {
     case store_client::membership:
--- a/src/test_fleet/fake_store.cpp
+++ b/src/test_fleet/fake_store.cpp
@@ -40,6 +40,14 @@
     return result;
 }
 
+void fake_store::restore(fake_store const& older)
+{
+    this->items = older.items;
+    this->leases = older.leases;
+    this->last_revision = older.last_revision;
+    this->era += 1;
+}
+
 std::string fake_store::value_of(std::string const& key) const
 {
     auto const found = this->items.find(key);
--- a/src/test_fleet/fake_store.hpp
+++ b/src/test_fleet/fake_store.hpp
@@ -21,10 +21,15 @@
     // The value of a key; empty if the key does not exist.
     std::string value_of(std::string const& key) const;
 
+    // Returns to an older copy: all later writes are lost, and their revisions
+    // are given out again. The era rises.
+    void restore(fake_store const& older);
+
     // While true, every call fails and nothing is written.
     bool is_down = false;
     // Number of coming writes that take effect but whose answers are lost.
     std::uint32_t answers_to_lose = 0;
+    std::uint64_t era = 1;
     // Time from a call to its answer.
     duration delay = std::chrono::milliseconds(2);
     // Number of calls received: compare-and-set calls count as writes, all
--- a/src/test_fleet/fleet.cpp
+++ b/src/test_fleet/fleet.cpp
@@ -274,27 +274,30 @@
     // The store executes the request even if its answer comes after the
     // timeout, so the node can't know whether the request took effect.
     store_result result = this->store.handle(requested.request, this->clock);
+    std::uint64_t era = this->store.is_down ? 0 : this->store.era;
     duration delay = this->store.delay;
     if (delay > requested.timeout)
     {
         delay = requested.timeout;
         result = store_unavailable{true};
+        era = 0;
     }
-    this->schedule(this->clock + delay,
-                   from.membership.startup_options.self.address,
-                   from.membership.startup_options.self.incarnation,
-                   [id = requested.call, client = requested.client, result](
-                       fleet_node& node, step& current)
-                   {
-                       if (client == store_client::membership)
-                       {
-                           membership::handle_store(
-                               node.membership, id, result, current);
-                           return;
-                       }
-                       configuration::handle_store(
-                           node.configuration, id, result, current);
-                   });
+    this->schedule(
+        this->clock + delay,
+        from.membership.startup_options.self.address,
+        from.membership.startup_options.self.incarnation,
+        [id = requested.call, client = requested.client, result, era](
+            fleet_node& node, step& current)
+        {
+            membership::note_store_era(node.membership, era, current);
+            if (client == store_client::membership)
+            {
+                membership::handle_store(node.membership, id, result, current);
+                return;
+            }
+            configuration::handle_store(
+                node.configuration, id, result, current);
+        });
 }
 
 void fleet::set_timer(fleet_node& node)
