Read the routes again when the store gives out revisions again

What callers would see: a change of the routes that the operator confirmed does not come into force (CONFIG).

Cause: a watch names the revision up to which its node knows the changes. After a restore the store gives out the same revisions again. Once it has reached the node's revision, it no longer answers 410, and a table that was written below that revision is missed until the next change.

Change: when the era of the store rises, the cursor and the calls in flight are void and the table is read again, also by nodes that learn of it from a peer.

--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -2,6 +2,7 @@
 #include "node/node.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace plantaintally::node
 {
@@ -17,6 +18,19 @@
     return membership::draw_peers(node.membership, gossip_peers, current);
 }
 
+// Informs the modules that depend on the history of the key-value store when it
+// has come back from an older copy.
+void apply_store_era(state& node, step& current)
+{
+    std::uint64_t const era = membership::store_era(node.membership);
+    std::uint64_t const before = std::exchange(node.handled_store_era, era);
+    if (before == 0 || before == era)
+    {
+        return;
+    }
+    routes::handle_store_restored(node.routes, current);
+}
+
 // Passes a control message to the module that owns it.
 struct control_visitor
 {
@@ -39,6 +53,7 @@
         }
         membership::handle_message(
             this->node.membership, this->sender, received, this->current);
+        apply_store_era(this->node, this->current);
     }
 
     void operator()(configuration::message const& received) const
@@ -74,6 +89,7 @@
                         step& current)
 {
     membership::note_store_era(node.membership, replied.era, current);
+    apply_store_era(node, current);
     switch (replied.client)
     {
     case store_client::membership:
--- a/src/node/tests/fake_store.cpp
+++ b/src/node/tests/fake_store.cpp
@@ -8,6 +8,13 @@
     this->entries[key] = store_entry{key, std::move(value), ++this->revision};
 }
 
+void fake_store::restore(fake_store const& older)
+{
+    this->entries = older.entries;
+    this->revision = older.revision;
+    this->era += 1;
+}
+
 store_result fake_store::call(store_request const& request)
 {
     if (auto const* get = std::get_if<store_get>(&request))
--- a/src/node/tests/virtual_links.cpp
+++ b/src/node/tests/virtual_links.cpp
@@ -55,8 +55,10 @@
     }
     if (auto const* call = std::get_if<call_store>(&emitted))
     {
-        store_replied replied{
-            call->call, call->client, this->store.call(call->request)};
+        store_replied replied{call->call,
+                              call->client,
+                              this->store.call(call->request),
+                              this->store.era};
         auto const* watch = std::get_if<store_watch>(&call->request);
         bool const waits =
             watch != nullptr &&
--- a/src/routes/internal/routes.cpp
+++ b/src/routes/internal/routes.cpp
@@ -279,6 +279,13 @@
     }
 }
 
+void handle_store_restored(state& routes, step& current)
+{
+    routes.calls.clear();
+    routes.cursor.reset();
+    routes.next_read = current.now.monotonic;
+}
+
 void handle_message(state& routes,
                     node_id const& sender,
                     message const& received,
--- a/src/routes/routes.hpp
+++ b/src/routes/routes.hpp
@@ -73,6 +73,10 @@
                   store_call_id call,
                   store_result const& result,
                   step& current);
+// Reads the table again after the key-value store has come back from an older
+// copy: it gives out revisions again, so the cursor and the results of earlier
+// calls are void.
+void handle_store_restored(state& routes, step& current);
 void handle_message(state& routes,
                     node_id const& sender,
                     message const& received,
