Record departures again that the store has lost

What callers would see: a request at a worker whose leaving was acknowledged seconds before (DRAIN).

Cause: a departure binds a later process of the node by its record in the store. A store that comes back from an older copy has lost the record; after a restart of the node a late report puts the worker into service again. A write whose answer arrives after the restore was acknowledged although it is lost.

Change: when the era of the store rises, calls in flight are void, and a node whose departures changed within the last minute compares the record with its memory and writes what is missing.

Evidence: both new tests in node_test fail without the change and pass with it.

--- a/src/departures/departures.hpp
+++ b/src/departures/departures.hpp
@@ -56,6 +56,11 @@
     bool is_record_read = false;
     // True if `departed` holds incarnations that are not recorded yet.
     bool has_unrecorded = false;
+    // True if the record has to be compared with `departed`, since the store
+    // may have lost its latest version.
+    bool is_check_due = false;
+    // Time of the last change to `departed`.
+    std::optional<instant> departed_changed_at;
     std::uint64_t record_revision = 0;
     std::optional<store_purpose> pending_purpose;
     store_call_id pending_call;
@@ -82,6 +87,9 @@
                      store_call_id call,
                      store_result const& result,
                      step& current);
+// Checks the record, and writes it again if needed, after the key-value store
+// has come back from an older copy. Results of earlier calls are void.
+void handle_store_restored(state& departures, step& current);
 void handle_time(state& departures, step& current);
 std::optional<instant> next_wakeup(state const& departures);
 
--- a/src/departures/internal/departures.cpp
+++ b/src/departures/internal/departures.cpp
@@ -20,6 +20,12 @@
 // delayed by a network partition arrive together when it heals, so they don't
 // qualify.
 constexpr duration min_live_report_gap = std::chrono::seconds(1);
+// After the store has come back from an older copy, the record is checked if
+// `departed` has changed this recently: reports arrive seconds late at most,
+// and in a large fleet only few nodes then call the store.
+constexpr duration max_checked_age = std::chrono::minutes(1);
+// The checks are made at random times within this window.
+constexpr duration check_window = std::chrono::milliseconds(300);
 
 std::string describe(upstream_incarnation const& incarnation)
 {
@@ -72,7 +78,7 @@
     {
         return;
     }
-    if (!departures.is_record_read)
+    if (!departures.is_record_read || departures.is_check_due)
     {
         return begin_record_read(departures, current);
     }
@@ -198,6 +204,7 @@
     {
         add_departed(departures.departed, incarnation);
         departures.has_unrecorded = true;
+        departures.departed_changed_at = current.now.monotonic;
         departures.next_call =
             std::min(departures.next_call, current.now.monotonic);
         record(current,
@@ -243,6 +250,34 @@
     answer_reports(departures, false, current);
 }
 
+// Merges the stored record into the departures in memory, and has it written
+// again if it lacks any of them.
+void merge_record(state& departures,
+                  std::vector<upstream_incarnation> recorded,
+                  step& current)
+{
+    auto const in_memory =
+        std::exchange(departures.departed, std::move(recorded));
+    std::vector<upstream_incarnation> const stored = departures.departed;
+    if (!stored.empty())
+    {
+        departures.departed_changed_at = current.now.monotonic;
+    }
+    for (upstream_incarnation const& incarnation : in_memory)
+    {
+        add_departed(departures.departed, incarnation);
+    }
+    bool const is_incomplete =
+        std::ranges::any_of(in_memory,
+                            [&](upstream_incarnation const& incarnation)
+                            { return !has_departed(stored, incarnation); });
+    if (is_incomplete && !departures.has_unrecorded)
+    {
+        departures.has_unrecorded = true;
+        record(current, "", "departures", "record-lost", {});
+    }
+}
+
 outcome
 handle_record_read(state& departures, store_result const& result, step& current)
 {
@@ -253,16 +288,12 @@
         return {};
     }
     departures.is_record_read = true;
+    departures.is_check_due = false;
     departures.record_revision = entry == nullptr ? 0 : entry->revision;
-    if (entry != nullptr)
-    {
-        std::vector<upstream_incarnation> const in_memory = departures.departed;
-        departures.departed = decode_record(entry->value);
-        for (upstream_incarnation const& incarnation : in_memory)
-        {
-            add_departed(departures.departed, incarnation);
-        }
-    }
+    merge_record(departures,
+                 entry == nullptr ? std::vector<upstream_incarnation>()
+                                  : decode_record(entry->value),
+                 current);
     outcome changes = open_candidate(departures, current);
     begin_due_call(departures, current);
     return changes;
@@ -338,6 +369,27 @@
     return {};
 }
 
+void handle_store_restored(state& departures, step& current)
+{
+    if (!departures.is_started)
+    {
+        return;
+    }
+    instant const now = current.now.monotonic;
+    bool const is_recent =
+        departures.departed_changed_at &&
+        now - *departures.departed_changed_at <= max_checked_age;
+    bool const is_call_void =
+        std::exchange(departures.pending_purpose, std::nullopt).has_value();
+    if (is_recent || is_call_void)
+    {
+        departures.is_check_due = true;
+        departures.next_call =
+            now + std::chrono::duration_cast<duration>(
+                      check_window * draw_fraction(current.random));
+    }
+}
+
 void handle_time(state& departures, step& current)
 {
     if (departures.is_started)
@@ -349,8 +401,8 @@
 std::optional<instant> next_wakeup(state const& departures)
 {
     bool const is_busy = departures.pending_purpose.has_value();
-    bool const is_needed =
-        !departures.is_record_read || departures.has_unrecorded;
+    bool const is_needed = !departures.is_record_read ||
+                           departures.has_unrecorded || departures.is_check_due;
     if (!departures.is_started || is_busy || !is_needed)
     {
         return std::nullopt;
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -29,6 +29,7 @@
         return;
     }
     routes::handle_store_restored(node.routes, current);
+    departures::handle_store_restored(node.departures, current);
 }
 
 // Passes a control message to the module that owns it.
--- a/src/node/tests/store_restore_test.cpp
+++ b/src/node/tests/store_restore_test.cpp
@@ -31,6 +31,8 @@
     std::optional<call_store> open_watch;
     std::deque<call_store> calls;
     std::vector<answer_report> acknowledgements;
+    // While set, the calls stay open.
+    bool is_withholding = false;
 
     explicit process(fake_store& shared) : store(shared)
     {
@@ -68,7 +70,7 @@
     // Answers the open calls; a watch of the routes stays open.
     void answer_calls()
     {
-        while (!this->calls.empty())
+        while (!this->is_withholding && !this->calls.empty())
         {
             call_store const call = this->calls.front();
             this->calls.pop_front();
@@ -96,6 +98,22 @@
         }
     }
 
+    void report(std::uint64_t sequence, upstream_phase phase)
+    {
+        upstream_reported reported;
+        reported.report = {sequence};
+        reported.life = {"i-1", 5, sequence};
+        reported.phase = phase;
+        reported.announcement = {"desk", "127.0.0.1:8000", 4, 16, {}, "i-1"};
+        this->handle(reported);
+        this->answer_calls();
+    }
+
+    bool has_upstream() const
+    {
+        return this->node.lifecycle.upstream.has_value();
+    }
+
     // The open watch returns; it reports the changes since its revision.
     void end_watch()
     {
@@ -120,3 +138,50 @@
     node.end_watch();
     CHECK(node.node.routes.in_force.version == 3);
 }
+
+TEST_CASE(
+    "an acknowledged departure binds a process that starts after the store "
+    "has lost the record")
+{
+    fake_store store;
+    store.put(std::string(routes::table_key), encode_table(1));
+    process node(store);
+    node.run_for(3s);
+    node.report(1, upstream_phase::ready);
+    fake_store const older = store;
+    node.report(2, upstream_phase::draining);
+    REQUIRE(node.acknowledgements.back().is_accepted);
+    store.restore(older);
+    node.end_watch();
+    node.run_for(1s);
+    process restarted(store);
+    restarted.run_for(3s);
+    restarted.report(3, upstream_phase::ready);
+    CHECK_FALSE(restarted.has_upstream());
+}
+
+TEST_CASE("a departure whose write the store has lost is not acknowledged")
+{
+    fake_store store;
+    store.put(std::string(routes::table_key), encode_table(1));
+    process node(store);
+    node.run_for(3s);
+    node.report(1, upstream_phase::ready);
+    fake_store const older = store;
+    node.is_withholding = true;
+    node.report(2, upstream_phase::draining);
+    auto const write = node.calls.front();
+    node.calls.clear();
+    store_replied const late{
+        write.call, write.client, store.call(write.request), store.era};
+    auto const answered = node.acknowledgements.size();
+    node.is_withholding = false;
+    store.restore(older);
+    node.end_watch();
+    node.handle(late);
+    CHECK(node.acknowledgements.size() == answered);
+    node.run_for(1s);
+    CHECK(node.acknowledgements.size() == answered + 1);
+    CHECK(std::holds_alternative<store_entry>(
+        store.call(store_get{departures::record_key("10.0.0.1:7000")})));
+}
