Known failure: no change after the store lost the latest revision

What operators see: after a restore of the key-value store from an older copy, a change by the operators' tool is refused, "the platform's key-value store is unavailable", still 20 s later.

Cause, as far as read: the document's version is the store's revision, which goes back, and no node applies a lower one. Not fixed; versions have to be ordered by era first.

Its last check has not been reached, since the change is refused before.

--- a/src/configuration/tests/configuration_test.cpp
+++ b/src/configuration/tests/configuration_test.cpp
@@ -464,3 +464,31 @@
             }
         }));
 }
+
+TEST_CASE(
+    "a change accepted after the store has lost the latest revision comes "
+    "into force",
+    "[.known-red]")
+{
+    fleet cluster(31);
+    start_nodes(cluster, 4);
+    cluster.submit(address_of(1), 1, make_create_change("first"));
+    cluster.run_for(5s);
+    auto const older = cluster.store;
+    for (std::uint64_t command = 2; command < 5; ++command)
+    {
+        cluster.submit(address_of(1),
+                       command,
+                       make_create_change("rank-" + std::to_string(command)));
+        cluster.run_for(5s);
+    }
+    REQUIRE(accepted_revision(cluster, 1, 4) > 0);
+    cluster.store.restore(older);
+    cluster.run_for(20s);
+    cluster.submit(address_of(2), 5, make_create_change("last"));
+    cluster.run_for(20s);
+    auto const accepted = accepted_revision(cluster, 2, 5);
+    INFO(answer_message(cluster, 2, 5));
+    REQUIRE(accepted > 0);
+    CHECK(is_in_force_everywhere(cluster, accepted));
+}
