Never take a copy of an earlier refusal for the answer to a request

Cause: an answer without the echoed request id was accepted as the answer to the present request. Besides, a request that is offered to the same worker again can be sent on the connection of its first refusal, whose copy then bears the right id.

Change: where the worker echoes ids, an answer that names no request is malformed: the request may have run, and the connection ends. A connection remembers the requests that were answered with an error on it, 64 at most before it is given up, and does not carry them again. At the limit of connections an idle one makes room.

--- a/src/drivers/http.hpp
+++ b/src/drivers/http.hpp
@@ -43,7 +43,8 @@
     std::shared_ptr<std::string const> body;
     // Header by which the response is recognized: a response that carries this
     // header with another value is a late response to an earlier request and is
-    // skipped. An empty name accepts every response.
+    // skipped, and one without it is malformed. An empty name accepts every
+    // response.
     header_field expected_answer_header = {};
 };
 
--- a/src/drivers/internal/connection_pool.cpp
+++ b/src/drivers/internal/connection_pool.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 #include <utility>
 
 namespace plantaintally::drivers
@@ -17,6 +19,13 @@
 namespace
 {
 
+constexpr std::size_t max_failed_requests = 64;
+
+std::size_t hash_of(std::string_view request_id)
+{
+    return std::hash<std::string_view>()(request_id);
+}
+
 // An idle connection is unusable if the other side has closed it or has sent
 // unsolicited data.
 bool is_usable(tcp::socket& socket)
@@ -50,9 +59,11 @@
 }
 
 asio::awaitable<std::variant<connection_id, connect_failure>>
-connection_pool::lease(std::string address, duration time_left)
+connection_pool::lease(std::string address,
+                       duration time_left,
+                       std::string_view request_id)
 {
-    if (auto const idle = this->take_idle(address))
+    if (auto const idle = this->take_idle(address, request_id))
     {
         co_return *idle;
     }
@@ -73,6 +84,14 @@
     this->group_for(connection.address).idle.push_back(id);
 }
 
+bool connection_pool::note_failed_request(connection_id id,
+                                          std::string_view request_id)
+{
+    auto& failed = this->connections.at(id).failed_requests;
+    failed.push_back(hash_of(request_id));
+    return failed.size() < max_failed_requests;
+}
+
 void connection_pool::discard(connection_id id)
 {
     auto const found = this->connections.find(id);
@@ -149,14 +168,24 @@
 }
 
 std::optional<connection_id>
-connection_pool::take_idle(std::string const& address)
+connection_pool::take_idle(std::string const& address,
+                           std::string_view request_id)
 {
     auto& idle = this->group_for(address).idle;
-    while (!idle.empty())
+    auto const request = hash_of(request_id);
+    for (auto position = idle.size(); position > 0; --position)
     {
-        auto const id = idle.back();
-        idle.pop_back();
-        if (is_usable(this->connections.at(id).socket))
+        auto const id = idle[position - 1];
+        auto& connection = this->connections.at(id);
+        if (!request_id.empty() &&
+            std::ranges::find(connection.failed_requests, request) !=
+                connection.failed_requests.end())
+        {
+            continue;
+        }
+        idle.erase(
+            std::next(idle.begin(), static_cast<std::ptrdiff_t>(position - 1)));
+        if (is_usable(connection.socket))
         {
             return id;
         }
@@ -170,6 +199,11 @@
 {
     auto const endpoint = to_endpoint(address);
     auto& group = this->group_for(address);
+    if (group.open >= group.limit && !group.idle.empty())
+    {
+        this->discard(group.idle.front());
+        group.idle.erase(group.idle.begin());
+    }
     if (!endpoint || group.open >= group.limit)
     {
         this->driver_metrics.add(this->metric("connect_failures_total"));
--- a/src/drivers/internal/connection_pool.hpp
+++ b/src/drivers/internal/connection_pool.hpp
@@ -40,6 +40,8 @@
     deadline_guard guard;
     boost::beast::flat_buffer buffer;
     std::chrono::steady_clock::time_point idle_since;
+    // Hashes of the ids of requests that were answered with an error.
+    std::vector<std::size_t> failed_requests;
 };
 
 // Why no connection could be obtained. Nothing was written in any of these
@@ -74,13 +76,21 @@
 
     // Leases an idle connection that the other side does not appear to have
     // closed, or opens a new one. The connection stays leased until it is given
-    // back or discarded.
+    // back or discarded. A request that was answered with an error does not get
+    // the same connection again: a copy of that answer could arrive late and
+    // would name the request. An empty id accepts any connection.
     asio::awaitable<std::variant<connection_id, connect_failure>>
-    lease(std::string address, duration time_left);
+    lease(std::string address,
+          duration time_left,
+          std::string_view request_id = {});
     pooled_connection& at(connection_id id);
     // Returns a connection to the pool. Its last response must have been read
     // completely and the connection must be reusable.
     void give_back(connection_id id);
+    // Records that the request with this id was answered with an error on the
+    // connection. Returns false if the connection can record no more and must
+    // not be given back.
+    bool note_failed_request(connection_id id, std::string_view request_id);
     void discard(connection_id id);
 
     // Keeps at least `count` connections to the address open, ahead of use, and
@@ -112,7 +122,8 @@
     std::unordered_map<connection_id, pooled_connection> connections;
 
     address_group& group_for(std::string const& address);
-    std::optional<connection_id> take_idle(std::string const& address);
+    std::optional<connection_id> take_idle(std::string const& address,
+                                           std::string_view request_id);
     asio::awaitable<std::variant<connection_id, connect_failure>>
     open(std::string address, duration time_left);
     asio::awaitable<void> open_idle(std::string address);
--- a/src/drivers/internal/http_client.cpp
+++ b/src/drivers/internal/http_client.cpp
@@ -24,6 +24,7 @@
 
 constexpr unsigned http_version_1_1 = 11;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned first_error_status = 400;
 // Size of the first read of a response.
 constexpr std::size_t first_read_bytes = 4096;
 
@@ -137,16 +138,29 @@
     connection.buffer.commit(count);
 }
 
-// True unless the response states that it belongs to another request.
-bool is_answer_to(answer const& full_answer, outgoing_request const& request)
+enum class answer_match
+{
+    // The response names the request, or none is expected to.
+    matching,
+    // The response names another request.
+    other,
+    unnamed
+};
+
+answer_match match(answer const& full_answer, outgoing_request const& request)
 {
     header_field const& expected = request.expected_answer_header;
     if (expected.name.empty())
     {
-        return true;
+        return answer_match::matching;
     }
     auto const found = find_header(full_answer.headers, expected.name);
-    return found.empty() || found == expected.value;
+    if (found.empty())
+    {
+        return answer_match::unnamed;
+    }
+    return found == expected.value ? answer_match::matching
+                                   : answer_match::other;
 }
 
 // Discards a leased connection unless it was given back.
@@ -210,7 +224,8 @@
 {
     using clock = std::chrono::steady_clock;
     auto const deadline = clock::now() + timeout;
-    auto const leased = co_await this->pool.lease(std::move(address), timeout);
+    auto const leased = co_await this->pool.lease(
+        std::move(address), timeout, request.expected_answer_header.value);
     if (auto const* const failure = std::get_if<connect_failure>(&leased))
     {
         co_return call_failure{control.is_cancelled()
@@ -237,6 +252,13 @@
     auto result =
         co_await this->exchange(connection, request, control, is_reusable);
     control.socket = nullptr;
+    auto const* const full_answer = std::get_if<answer>(&result);
+    auto const& request_id = request.expected_answer_header.value;
+    if (is_reusable && !request_id.empty() && full_answer != nullptr &&
+        full_answer->status >= first_error_status)
+    {
+        is_reusable = this->pool.note_failed_request(id, request_id);
+    }
     if (is_reusable && connection.buffer.size() == 0 && !control.is_cancelled())
     {
         lease.give_back();
@@ -292,7 +314,14 @@
         auto result = co_await this->read_next_answer(
             connection, is_head, control, is_keep_alive);
         auto const* const full_answer = std::get_if<answer>(&result);
-        if (full_answer == nullptr || is_answer_to(*full_answer, request))
+        auto const matched = full_answer == nullptr
+                                 ? answer_match::matching
+                                 : match(*full_answer, request);
+        if (matched == answer_match::unnamed)
+        {
+            co_return call_failure{attempt_failure::malformed_answer, true};
+        }
+        if (matched != answer_match::other)
         {
             is_reusable = is_keep_alive && !has_skipped_late_answer;
             co_return result;
--- a/src/drivers/internal/http_client.hpp
+++ b/src/drivers/internal/http_client.hpp
@@ -68,7 +68,8 @@
                                           call_control& control,
                                           bool& is_reusable);
     // Reads the response to this request, skipping late responses to earlier
-    // ones.
+    // ones. A response that should name its request and names none may belong
+    // to any, so it is malformed.
     asio::awaitable<call_result> read_answer(pooled_connection& connection,
                                              outgoing_request const& request,
                                              call_control& control,
--- a/src/drivers/tests/http_client_test.cpp
+++ b/src/drivers/tests/http_client_test.cpp
@@ -52,6 +52,13 @@
         return results.empty() ? call_result(call_failure{}) : results.front();
     }
 
+    // Sends a request with this id, which the response has to name.
+    call_result call_with_id(std::string const& address, std::string const& id)
+    {
+        this->expected_answer_header = {"Request-Id", id};
+        return this->call(address, id);
+    }
+
     void start(std::vector<call_result>& results,
                std::string address,
                std::string body,
@@ -76,6 +83,8 @@
     }
 
 private:
+    header_field expected_answer_header;
+
     asio::awaitable<void> run_call(std::vector<call_result>& results,
                                    std::string address,
                                    std::string body,
@@ -87,7 +96,8 @@
             "POST",
             "/book",
             {{"Host", "duty-desk"}},
-            std::make_shared<std::string const>(std::move(body))};
+            std::make_shared<std::string const>(std::move(body)),
+            this->expected_answer_header};
         auto result = co_await this->client.call(
             std::move(address),
             std::move(request),
@@ -103,6 +113,20 @@
     return full_answer == nullptr ? "no answer" : full_answer->body;
 }
 
+// An answer that names this request; none if the id is empty.
+std::string named_answer(int status, std::string const& id)
+{
+    std::string const name = id.empty() ? "" : "Request-Id: " + id + "\r\n";
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + name +
+           "Content-Length: 0\r\n\r\n";
+}
+
+std::uint32_t status_of(call_result const& result)
+{
+    auto const* const full_answer = std::get_if<answer>(&result);
+    return full_answer == nullptr ? 0 : full_answer->status;
+}
+
 call_failure failure_in(call_result const& result)
 {
     REQUIRE(std::holds_alternative<call_failure>(result));
@@ -278,6 +302,118 @@
     CHECK(server.connection_count() == 2);
 }
 
+TEST_CASE("a refusal sent twice is never the answer to a later request")
+{
+    // When the copy is sent, counted in requests received.
+    enum class moment
+    {
+        with_first_answer,
+        before_second_request,
+        after_second_request
+    };
+    struct variant
+    {
+        // The request id that the refusal and its copy state.
+        std::string id;
+        std::string copied_id;
+        moment copied;
+        std::string second_id;
+    };
+    std::vector<variant> variants;
+    for (auto const copied : {moment::with_first_answer,
+                              moment::before_second_request,
+                              moment::after_second_request})
+    {
+        variants.push_back({"1", "1", copied, "2"});
+        variants.push_back({"1", "", copied, "2"});
+        variants.push_back({"", "", copied, "2"});
+        // The same request, sent again after it was refused.
+        variants.push_back({"1", "1", copied, "1"});
+    }
+    for (variant const& each : variants)
+    {
+        std::atomic<bool> may_copy = false;
+        std::atomic<bool> is_copied = false;
+        scripted_server server(
+            [&](test_connection& connection, std::size_t number)
+            {
+                auto const copy = named_answer(503, each.copied_id);
+                if (number == 0 && !connection.read_message().empty())
+                {
+                    auto const first = named_answer(503, each.id);
+                    connection.write(each.copied == moment::with_first_answer
+                                         ? first + copy
+                                         : first);
+                    while (!may_copy)
+                    {
+                        std::this_thread::yield();
+                    }
+                    if (each.copied == moment::before_second_request)
+                    {
+                        connection.write(copy);
+                    }
+                    is_copied = true;
+                }
+                bool is_late =
+                    number == 0 && each.copied == moment::after_second_request;
+                for (auto next = connection.read_message(); !next.empty();
+                     next = connection.read_message())
+                {
+                    auto const answer = named_answer(200, body_of(next));
+                    connection.write(is_late ? copy + answer : answer);
+                    is_late = false;
+                }
+            });
+        client_fixture fixture;
+        INFO("id '" << each.id << "', copied as '" << each.copied_id << "', "
+                    << static_cast<int>(each.copied) << ", then "
+                    << each.second_id);
+        CHECK(status_of(fixture.call_with_id(server.address(), "1")) ==
+              (each.id.empty() ? 0 : 503));
+        may_copy = true;
+        while (!is_copied)
+        {
+            std::this_thread::yield();
+        }
+        auto const second =
+            fixture.call_with_id(server.address(), each.second_id);
+        auto const* const failure = std::get_if<call_failure>(&second);
+        CHECK((failure == nullptr ? status_of(second) == 200
+                                  : failure->is_written));
+        CHECK(status_of(fixture.call_with_id(server.address(), "3")) == 200);
+        fixture.pool.close_idle();
+    }
+}
+
+TEST_CASE("a refused request is repeated on another connection only")
+{
+    scripted_server server(
+        [](test_connection& connection, std::size_t)
+        {
+            for (auto next = connection.read_message(); !next.empty();
+                 next = connection.read_message())
+            {
+                connection.write(named_answer(503, body_of(next)));
+            }
+        });
+    client_fixture fixture;
+    // More often than the pool may hold connections.
+    for (std::size_t repeat = 1; repeat <= 4; ++repeat)
+    {
+        CHECK(status_of(fixture.call_with_id(server.address(), "same")) == 503);
+        CHECK(server.connection_count() == repeat);
+    }
+    // Other requests share connections, which don't remember without limit.
+    for (int number = 0; number < 200; ++number)
+    {
+        auto const id = std::to_string(number);
+        CHECK(status_of(fixture.call_with_id(server.address(), id)) == 503);
+    }
+    CHECK(server.connection_count() > 4);
+    CHECK(server.connection_count() < 10);
+    fixture.pool.close_idle();
+}
+
 TEST_CASE("responses to concurrent calls are not mixed up")
 {
     scripted_server server(echo);
