--- a/src/drivers/tests/http_client_test.cpp
+++ b/src/drivers/tests/http_client_test.cpp
@@ -35,9 +35,10 @@
         this->tasks,
         this->driver_metrics,
         {"upstream", 2, 64U << 10U, std::chrono::seconds(60), ample_timeout}};
-    http_client client{this->pool, {4096, 100'000}};
+    http_client client;
 
-    client_fixture()
+    explicit client_fixture(bool allows_close_delimited = false)
+        : client(this->pool, {4096, 100'000, allows_close_delimited})
     {
         this->tasks.set_owner(this->owner);
     }
@@ -200,6 +201,99 @@
           attempt_failure::incomplete_answer);
 }
 
+TEST_CASE("a response that is cut off anywhere is never complete")
+{
+    std::string const start = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n";
+    struct variant
+    {
+        std::string response;
+        bool ends_by_reset;
+        bool is_on_kept_connection;
+        bool is_sent_in_pieces;
+    };
+    std::vector<variant> variants;
+    for (std::string const& response :
+         {start + "Content-Length: 12\r\nDate: 1\r\n\r\nhello, hello",
+          start + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+          // Delimited by the end of the connection.
+          start + "Content-Type: text/plain\r\n\r\n"})
+    {
+        for (bool const ends_by_reset : {false, true})
+        {
+            for (bool const is_kept : {false, true})
+            {
+                variants.push_back({response, ends_by_reset, is_kept, false});
+                variants.push_back({response, ends_by_reset, is_kept, true});
+            }
+        }
+    }
+    for (variant const& each : variants)
+    {
+        // Position of the next cut, counted in bytes that are sent.
+        std::atomic<std::size_t> cut = 0;
+        scripted_server server(
+            [&](test_connection& connection, std::size_t)
+            {
+                if (each.is_on_kept_connection)
+                {
+                    connection.read_message();
+                    connection.write(named_answer(200, "0"));
+                }
+                if (connection.read_message().empty())
+                {
+                    return;
+                }
+                std::string_view const text =
+                    std::string_view(each.response).substr(0, cut);
+                std::size_t const first =
+                    each.is_sent_in_pieces ? text.size() / 2 : text.size();
+                connection.write(text.substr(0, first));
+                if (first < text.size())
+                {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                    connection.write(text.substr(first));
+                }
+                each.ends_by_reset ? connection.reset() : connection.close();
+            });
+        client_fixture fixture(true);
+        for (cut = 0; cut < each.response.size(); ++cut)
+        {
+            if (each.is_on_kept_connection)
+            {
+                REQUIRE(status_of(fixture.call_with_id(server.address(),
+                                                       "0")) == 200);
+            }
+            INFO(each.response.substr(0, cut)
+                 << "| reset " << each.ends_by_reset << " kept "
+                 << each.is_on_kept_connection);
+            auto const result = fixture.call_with_id(server.address(), "1");
+            CHECK(status_of(result) == 0);
+            CHECK(fixture.pool.connection_count() == 0);
+        }
+        CHECK(server.connection_count() == each.response.size());
+    }
+}
+
+TEST_CASE("a response that the connection's end delimits is complete only "
+          "without a reset")
+{
+    for (bool const ends_by_reset : {false, true})
+    {
+        scripted_server server(
+            [&](test_connection& connection, std::size_t)
+            {
+                connection.read_message();
+                connection.write(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nwhole");
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                ends_by_reset ? connection.reset() : connection.close();
+            });
+        client_fixture fixture(true);
+        auto const result = fixture.call_with_id(server.address(), "1");
+        CHECK(body_text(result) == (ends_by_reset ? "no answer" : "whole"));
+    }
+}
+
 TEST_CASE(
     "a request is not repeated if the connection closes before the response")
 {
