Do not pass on a success without the upstream's stamp

Cause: the dialect did not look at the stamp. Change: a 2xx without it is unproven; the request may have run, and nothing of the answer is passed on.

--- a/src/drivers/dialect.hpp
+++ b/src/drivers/dialect.hpp
@@ -72,7 +72,10 @@
     refused,
     // An instance other than the intended one received the request and refused
     // it without running it.
-    misdirected
+    misdirected,
+    // A success without what shows that the upstream gave it. The request may
+    // have run, and the answer is not passed on.
+    unproven
 };
 
 // Status that the local upstream reports about itself.
--- a/src/drivers/internal/attempts.cpp
+++ b/src/drivers/internal/attempts.cpp
@@ -212,6 +212,11 @@
     {
         auto const kind =
             this->dependencies.external_dialect.classify_answer(full_answer);
+        if (kind == answer_kind::unproven)
+        {
+            this->fail(id, {attempt_failure::malformed_answer, true});
+            return;
+        }
         answered.is_upstream_refusal = kind == answer_kind::refused;
         answered.is_misdirected = kind == answer_kind::misdirected;
     }
