Reject a heartbeat that names another service than this machine's

Cause: the service of a report was not compared with the setting. Change: a report that names another service is answered 400. A departure names none and counts as before, and so does any report where no service is set.

Evidence: 'a heartbeat of another service does not displace the upstream', through two nodes, failed before.

--- a/src/drivers/internal/edge_api.cpp
+++ b/src/drivers/internal/edge_api.cpp
@@ -79,6 +79,15 @@
 
 asio::awaitable<local_answer> edge_api::handle_report(upstream_report reported)
 {
+    // Reports of a departure name no service.
+    auto const& service = reported.announcement.service;
+    if (!service.empty() && !this->dependencies.service.empty() &&
+        service != this->dependencies.service)
+    {
+        co_return status_answer(bad_request,
+                                "the report is of another service than " +
+                                    this->dependencies.service);
+    }
     report_id const id{++this->last_report_id};
     this->pending_reports.open(id);
     this->dependencies.submit_event(
--- a/src/drivers/internal/edge_api.hpp
+++ b/src/drivers/internal/edge_api.hpp
@@ -27,6 +27,8 @@
         std::function<void(event)> submit_event;
         // The metrics of the node and of the drivers in the text format.
         std::function<std::string()> write_metrics;
+        // The service of this machine's upstream; empty: any.
+        std::string service;
     };
 
     explicit edge_api(services required);
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -87,10 +87,8 @@
             this->driver_metrics,
             this->external_dialect,
             this->event_sink(),
-            [this]
-            {
-                return metrics::write_metrics(this->collect_metrics());
-            }}),
+            [this] { return metrics::write_metrics(this->collect_metrics()); },
+            this->config.edge.service}),
       timer(this->tasks, [this] { this->submit_event(timer_fired{}); }),
       caller_sessions(
           this->make_session_services(request_source::caller, "caller")),
