--- a/src/drivers/tests/http_client_test.cpp
+++ b/src/drivers/tests/http_client_test.cpp
@@ -35,9 +35,10 @@
         this->tasks,
         this->driver_metrics,
         {"upstream", 2, 64U << 10U, std::chrono::seconds(60), ample_timeout}};
-    http_client client{this->pool, {4096, 100'000}};
+    http_client client;
 
-    client_fixture()
+    explicit client_fixture(bool allows_close_delimited = false)
+        : client(this->pool, {4096, 100'000, allows_close_delimited})
     {
         this->tasks.set_owner(this->owner);
     }
@@ -52,6 +53,13 @@
         return results.empty() ? call_result(call_failure{}) : results.front();
     }
 
+    // Sends a request with this id, which the response has to name.
+    call_result call_with_id(std::string const& address, std::string const& id)
+    {
+        this->expected_answer_header = {"Request-Id", id};
+        return this->call(address, id);
+    }
+
     void start(std::vector<call_result>& results,
                std::string address,
                std::string body,
@@ -76,6 +84,8 @@
     }
 
 private:
+    header_field expected_answer_header;
+
     asio::awaitable<void> run_call(std::vector<call_result>& results,
                                    std::string address,
                                    std::string body,
@@ -87,7 +97,8 @@
             "POST",
             "/book",
             {{"Host", "duty-desk"}},
-            std::make_shared<std::string const>(std::move(body))};
+            std::make_shared<std::string const>(std::move(body)),
+            this->expected_answer_header};
         auto result = co_await this->client.call(
             std::move(address),
             std::move(request),
@@ -103,6 +114,20 @@
     return full_answer == nullptr ? "no answer" : full_answer->body;
 }
 
+// An answer that names this request; none if the id is empty.
+std::string named_answer(int status, std::string const& id)
+{
+    std::string const name = id.empty() ? "" : "Request-Id: " + id + "\r\n";
+    return "HTTP/1.1 " + std::to_string(status) + " X\r\n" + name +
+           "Content-Length: 0\r\n\r\n";
+}
+
+std::uint32_t status_of(call_result const& result)
+{
+    auto const* const full_answer = std::get_if<answer>(&result);
+    return full_answer == nullptr ? 0 : full_answer->status;
+}
+
 call_failure failure_in(call_result const& result)
 {
     REQUIRE(std::holds_alternative<call_failure>(result));
@@ -176,6 +201,99 @@
           attempt_failure::incomplete_answer);
 }
 
+TEST_CASE("a response that is cut off anywhere is never complete")
+{
+    std::string const start = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n";
+    struct variant
+    {
+        std::string response;
+        bool ends_by_reset;
+        bool is_on_kept_connection;
+        bool is_sent_in_pieces;
+    };
+    std::vector<variant> variants;
+    for (std::string const& response :
+         {start + "Content-Length: 12\r\nDate: 1\r\n\r\nhello, hello",
+          start + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+          // Delimited by the end of the connection.
+          start + "Content-Type: text/plain\r\n\r\n"})
+    {
+        for (bool const ends_by_reset : {false, true})
+        {
+            for (bool const is_kept : {false, true})
+            {
+                variants.push_back({response, ends_by_reset, is_kept, false});
+                variants.push_back({response, ends_by_reset, is_kept, true});
+            }
+        }
+    }
+    for (variant const& each : variants)
+    {
+        // Position of the next cut, counted in bytes that are sent.
+        std::atomic<std::size_t> cut = 0;
+        scripted_server server(
+            [&](test_connection& connection, std::size_t)
+            {
+                if (each.is_on_kept_connection)
+                {
+                    connection.read_message();
+                    connection.write(named_answer(200, "0"));
+                }
+                if (connection.read_message().empty())
+                {
+                    return;
+                }
+                std::string_view const text =
+                    std::string_view(each.response).substr(0, cut);
+                std::size_t const first =
+                    each.is_sent_in_pieces ? text.size() / 2 : text.size();
+                connection.write(text.substr(0, first));
+                if (first < text.size())
+                {
+                    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+                    connection.write(text.substr(first));
+                }
+                each.ends_by_reset ? connection.reset() : connection.close();
+            });
+        client_fixture fixture(true);
+        for (cut = 0; cut < each.response.size(); ++cut)
+        {
+            if (each.is_on_kept_connection)
+            {
+                REQUIRE(status_of(fixture.call_with_id(server.address(),
+                                                       "0")) == 200);
+            }
+            INFO(each.response.substr(0, cut)
+                 << "| reset " << each.ends_by_reset << " kept "
+                 << each.is_on_kept_connection);
+            auto const result = fixture.call_with_id(server.address(), "1");
+            CHECK(status_of(result) == 0);
+            CHECK(fixture.pool.connection_count() == 0);
+        }
+        CHECK(server.connection_count() == each.response.size());
+    }
+}
+
+TEST_CASE("a response that the connection's end delimits is complete only "
+          "without a reset")
+{
+    for (bool const ends_by_reset : {false, true})
+    {
+        scripted_server server(
+            [&](test_connection& connection, std::size_t)
+            {
+                connection.read_message();
+                connection.write(
+                    "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n\r\nwhole");
+                std::this_thread::sleep_for(std::chrono::milliseconds(5));
+                ends_by_reset ? connection.reset() : connection.close();
+            });
+        client_fixture fixture(true);
+        auto const result = fixture.call_with_id(server.address(), "1");
+        CHECK(body_text(result) == (ends_by_reset ? "no answer" : "whole"));
+    }
+}
+
 TEST_CASE(
     "a request is not repeated if the connection closes before the response")
 {
@@ -278,6 +396,118 @@
     CHECK(server.connection_count() == 2);
 }
 
+TEST_CASE("a refusal sent twice is never the answer to a later request")
+{
+    // When the copy is sent, counted in requests received.
+    enum class moment
+    {
+        with_first_answer,
+        before_second_request,
+        after_second_request
+    };
+    struct variant
+    {
+        // The request id that the refusal and its copy state.
+        std::string id;
+        std::string copied_id;
+        moment copied;
+        std::string second_id;
+    };
+    std::vector<variant> variants;
+    for (auto const copied : {moment::with_first_answer,
+                              moment::before_second_request,
+                              moment::after_second_request})
+    {
+        variants.push_back({"1", "1", copied, "2"});
+        variants.push_back({"1", "", copied, "2"});
+        variants.push_back({"", "", copied, "2"});
+        // The same request, sent again after it was refused.
+        variants.push_back({"1", "1", copied, "1"});
+    }
+    for (variant const& each : variants)
+    {
+        std::atomic<bool> may_copy = false;
+        std::atomic<bool> is_copied = false;
+        scripted_server server(
+            [&](test_connection& connection, std::size_t number)
+            {
+                auto const copy = named_answer(503, each.copied_id);
+                if (number == 0 && !connection.read_message().empty())
+                {
+                    auto const first = named_answer(503, each.id);
+                    connection.write(each.copied == moment::with_first_answer
+                                         ? first + copy
+                                         : first);
+                    while (!may_copy)
+                    {
+                        std::this_thread::yield();
+                    }
+                    if (each.copied == moment::before_second_request)
+                    {
+                        connection.write(copy);
+                    }
+                    is_copied = true;
+                }
+                bool is_late =
+                    number == 0 && each.copied == moment::after_second_request;
+                for (auto next = connection.read_message(); !next.empty();
+                     next = connection.read_message())
+                {
+                    auto const answer = named_answer(200, body_of(next));
+                    connection.write(is_late ? copy + answer : answer);
+                    is_late = false;
+                }
+            });
+        client_fixture fixture;
+        INFO("id '" << each.id << "', copied as '" << each.copied_id << "', "
+                    << static_cast<int>(each.copied) << ", then "
+                    << each.second_id);
+        CHECK(status_of(fixture.call_with_id(server.address(), "1")) ==
+              (each.id.empty() ? 0 : 503));
+        may_copy = true;
+        while (!is_copied)
+        {
+            std::this_thread::yield();
+        }
+        auto const second =
+            fixture.call_with_id(server.address(), each.second_id);
+        auto const* const failure = std::get_if<call_failure>(&second);
+        CHECK((failure == nullptr ? status_of(second) == 200
+                                  : failure->is_written));
+        CHECK(status_of(fixture.call_with_id(server.address(), "3")) == 200);
+        fixture.pool.close_idle();
+    }
+}
+
+TEST_CASE("a refused request is repeated on another connection only")
+{
+    scripted_server server(
+        [](test_connection& connection, std::size_t)
+        {
+            for (auto next = connection.read_message(); !next.empty();
+                 next = connection.read_message())
+            {
+                connection.write(named_answer(503, body_of(next)));
+            }
+        });
+    client_fixture fixture;
+    // More often than the pool may hold connections.
+    for (std::size_t repeat = 1; repeat <= 4; ++repeat)
+    {
+        CHECK(status_of(fixture.call_with_id(server.address(), "same")) == 503);
+        CHECK(server.connection_count() == repeat);
+    }
+    // Other requests share connections, which don't remember without limit.
+    for (int number = 0; number < 200; ++number)
+    {
+        auto const id = std::to_string(number);
+        CHECK(status_of(fixture.call_with_id(server.address(), id)) == 503);
+    }
+    CHECK(server.connection_count() > 4);
+    CHECK(server.connection_count() < 10);
+    fixture.pool.close_idle();
+}
+
 TEST_CASE("responses to concurrent calls are not mixed up")
 {
     scripted_server server(echo);
