End a call only after the write of its request

The node at the entrance could end with a segmentation fault when another node refused a request whose head it was still writing: one request with some hundred small headers was enough.

Cause: a call ends when its answer is complete, and a connection that can't be used again is destroyed then. A write of many buffers goes on by itself in several steps, and the next step used the destroyed socket; it shared ownership of the message, not of the connection.

A call whose answer comes before its request is written now closes the socket and waits for the write to complete with an error before it gives the connection back. Answers that come after the write take the same path as before.

Evidence: the new test of the client failed before the change.

--- a/src/drivers/internal/http_client.cpp
+++ b/src/drivers/internal/http_client.cpp
@@ -4,6 +4,7 @@
 #include "drivers/internal/parse_buffered.hpp"
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
@@ -116,9 +117,11 @@
 // A request that is being written; the write operation shares its ownership.
 struct pending_write
 {
-    pending_write(request_message content,
+    pending_write(asio::any_io_executor const& executor,
+                  request_message content,
                   std::shared_ptr<std::string const> shared_body)
-        : message(std::move(content)), body(std::move(shared_body))
+        : message(std::move(content)), body(std::move(shared_body)),
+          completed(executor, asio::steady_timer::time_point::max())
     {
     }
 
@@ -127,8 +130,23 @@
     bool is_done = false;
     error_code ec;
     std::size_t written = 0;
+    // Cancelled when the write operation has completed.
+    asio::steady_timer completed;
 };
 
+// Aborts the write by closing the socket, and waits until the write operation
+// no longer uses the socket.
+asio::awaitable<void> abort_write(tcp::socket& socket, pending_write& sent)
+{
+    error_code ignored;
+    socket.close(ignored);
+    while (!sent.is_done)
+    {
+        co_await sent.completed.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 // Receives the bytes that are available, or waits for the first ones.
 asio::awaitable<void> read_some(pooled_connection& connection, error_code& ec)
 {
@@ -274,10 +292,9 @@
 {
     // The response is read while the request is still being written: an
     // upstream may respond, and stop reading, before it has received the whole
-    // body. The write may outlast this call, so it shares ownership of the
-    // message.
-    auto const sent =
-        std::make_shared<pending_write>(to_message(request), request.body);
+    // body.
+    auto const sent = std::make_shared<pending_write>(
+        connection.socket.get_executor(), to_message(request), request.body);
     http::async_write(connection.socket,
                       sent->message,
                       [sent](error_code ec, std::size_t count)
@@ -285,13 +302,19 @@
                           sent->is_done = true;
                           sent->ec = ec;
                           sent->written = count;
+                          sent->completed.cancel();
                       });
     auto result =
         co_await this->read_answer(connection, request, control, is_reusable);
-    is_reusable = is_reusable && sent->is_done && !sent->ec;
+    bool const is_write_done = sent->is_done;
+    if (!is_write_done)
+    {
+        co_await abort_write(connection.socket, *sent);
+    }
+    is_reusable = is_reusable && is_write_done && !sent->ec;
     auto const* const failure = std::get_if<call_failure>(&result);
     bool const was_never_written =
-        failure != nullptr && sent->is_done && sent->ec && sent->written == 0;
+        failure != nullptr && is_write_done && sent->ec && sent->written == 0;
     if (was_never_written &&
         failure->failure == attempt_failure::closed_after_write)
     {
--- a/src/drivers/tests/http_client_test.cpp
+++ b/src/drivers/tests/http_client_test.cpp
@@ -36,6 +36,8 @@
         this->driver_metrics,
         {"upstream", 2, 64U << 10U, std::chrono::seconds(60), ample_timeout}};
     http_client client;
+    // True if the write of the last call had ended when the call did.
+    bool is_write_finished = false;
 
     explicit client_fixture(bool allows_close_delimited = false)
         : client(this->pool, {4096, 100'000, allows_close_delimited})
@@ -99,11 +101,13 @@
             {{"Host", "duty-desk"}},
             std::make_shared<std::string const>(std::move(body)),
             this->expected_answer_header};
+        auto const sent_body = request.body;
         auto result = co_await this->client.call(
             std::move(address),
             std::move(request),
             timeout,
             control == nullptr ? default_control : *control);
+        this->is_write_finished = sent_body.use_count() == 1;
         results.push_back(std::move(result));
     }
 };
@@ -614,6 +618,28 @@
     }
 }
 
+TEST_CASE("a call whose answer comes early ends only after its write")
+{
+    std::atomic<bool> is_finished = false;
+    scripted_server server(
+        [&](test_connection& connection, std::size_t)
+        {
+            connection.write("HTTP/1.1 413 Content Too Large\r\n"
+                             "Content-Length: 0\r\n\r\n");
+            while (!is_finished)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds(1));
+            }
+        });
+    client_fixture fixture;
+    std::string const body(std::size_t{16} << 20U, 'x');
+    auto const result = fixture.call(server.address(), body);
+    is_finished = true;
+    CHECK(std::get<answer>(result).status == 413);
+    CHECK(fixture.is_write_finished);
+    CHECK(fixture.pool.connection_count() == 0);
+}
+
 TEST_CASE("bytes without end are cut off and their connection is not reused")
 {
     // A head that never ends, interim responses without end, and bodies without
