Let heads grow between nodes by what renaming adds

A request whose head was within the callers' limit could still be over the limit between nodes, and ended 503: a field "a:b" takes one byte more when it is written again, a header that nodes would interpret 24 more. A limit near 2^32 wrapped to a few KiB.

Cause: the margin between nodes was 4 KiB, whatever the head consists of.

The limit between nodes is three times that of the callers plus 4 KiB, computed without overflow. A head is still bounded, and buffers grow only with what arrives.

--- a/src/drivers/internal/engine_parts.cpp
+++ b/src/drivers/internal/engine_parts.cpp
@@ -3,6 +3,7 @@
 #include "drivers/internal/engine.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace plantaintally::drivers
@@ -16,7 +17,18 @@
 // headers.
 constexpr std::size_t answer_buffer_bytes = 64U << 10U;
 // Space for the headers that nodes add to a request or an answer.
-constexpr std::uint32_t hop_header_bytes = 4U << 10U;
+constexpr std::uint64_t hop_header_bytes = 4U << 10U;
+// A renamed header grows to less than this multiple of its size.
+constexpr std::uint64_t max_header_growth = 3;
+
+// The size that a head of up to this size can have between nodes.
+std::uint32_t size_between_nodes(std::uint32_t head_bytes)
+{
+    std::uint64_t const bytes =
+        head_bytes * max_header_growth + hop_header_bytes;
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(
+        bytes, std::numeric_limits<std::uint32_t>::max()));
+}
 
 asio::awaitable<void> serve_session(tcp::socket accepted,
                                     session_services& services)
@@ -55,7 +67,7 @@
 http_client::limits engine::peer_client_limits() const
 {
     auto limits = this->client_limits(false);
-    limits.max_header_bytes += hop_header_bytes;
+    limits.max_header_bytes = size_between_nodes(limits.max_header_bytes);
     return limits;
 }
 
@@ -140,8 +152,8 @@
 engine::peer_read_limits(routes::caller_limits const& configured) const
 {
     auto const& limits = this->config.limits;
-    return {std::max(limits.max_header_bytes, configured.max_header_bytes) +
-                hop_header_bytes,
+    return {size_between_nodes(
+                std::max(limits.max_header_bytes, configured.max_header_bytes)),
             limits.max_body_bytes,
             limits.idle_timeout,
             limits.header_timeout,
