Apply a size limit that grows to open connections

On a connection that was open when operators raised the limit for heads, a request within the new limit was answered 431 once its head was about 80 KiB or more; on new connections it was served.

Cause: the limit is read for each request, but the buffer of a connection keeps the size that the limit had when it was opened.

The buffer's limit now follows before each request is parsed.

--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -182,6 +182,10 @@
 
 asio::awaitable<read_result> request_reader::read_message()
 {
+    // The limit may have grown since the connection was opened.
+    this->buffer.max_size(
+        std::max(this->buffer.max_size(),
+                 this->limits.max_header_bytes + body_buffer_bytes));
     parser source;
     source.header_limit(this->limits.max_header_bytes);
     source.body_limit(this->limits.max_body_bytes);
