Don't pass on a 3xx or 4xx without the upstream's stamp

A caller whose request was proper could be answered 302, 400, 404 or 431 that no worker's application had given: whatever wrote such a status at the worker's address, with the request's id, reached the caller as it was, and callers don't repeat a request after these.

Cause: only successes had to carry the stamp. The class is that of the requests denied between nodes: a verdict about a connection, here the one to the worker, is taken for one about the caller's request.

Every answer below 500 now has to carry the stamp or to state that the request was not executed.

--- a/src/drivers/dialect.hpp
+++ b/src/drivers/dialect.hpp
@@ -73,7 +73,7 @@
     // An instance other than the intended one received the request and refused
     // it without running it.
     misdirected,
-    // A success without what shows that the upstream gave it. The request may
+    // An answer without what shows that the upstream gave it. The request may
     // have run, and the answer is not passed on.
     unproven
 };
