--- a/src/drivers/dialect.hpp
+++ b/src/drivers/dialect.hpp
@@ -72,7 +72,10 @@
     refused,
     // An instance other than the intended one received the request and refused
     // it without running it.
-    misdirected
+    misdirected,
+    // An answer without what shows that the upstream gave it. The request may
+    // have run, and the answer is not passed on.
+    unproven
 };
 
 // Status that the local upstream reports about itself.
@@ -130,6 +133,9 @@
         make_store_request;
     std::function<store_result(store_request const&, answer const&)>
         read_store_answer;
+    // Returns the era that an answer of the store states; zero if it states
+    // none.
+    std::function<std::uint64_t(answer const&)> read_store_era;
 };
 
 // The product's own interface, as described in docs/INTERFACES.md.
--- a/src/drivers/internal/http_client.cpp
+++ b/src/drivers/internal/http_client.cpp
@@ -4,6 +4,7 @@
 #include "drivers/internal/parse_buffered.hpp"
 
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/http.hpp>
 
@@ -24,6 +25,7 @@
 
 constexpr unsigned http_version_1_1 = 11;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned first_error_status = 400;
 // Size of the first read of a response.
 constexpr std::size_t first_read_bytes = 4096;
 
@@ -115,9 +117,11 @@
 // A request that is being written; the write operation shares its ownership.
 struct pending_write
 {
-    pending_write(request_message content,
+    pending_write(asio::any_io_executor const& executor,
+                  request_message content,
                   std::shared_ptr<std::string const> shared_body)
-        : message(std::move(content)), body(std::move(shared_body))
+        : message(std::move(content)), body(std::move(shared_body)),
+          completed(executor, asio::steady_timer::time_point::max())
     {
     }
 
@@ -126,8 +130,23 @@
     bool is_done = false;
     error_code ec;
     std::size_t written = 0;
+    // Cancelled when the write operation has completed.
+    asio::steady_timer completed;
 };
 
+// Aborts the write by closing the socket, and waits until the write operation
+// no longer uses the socket.
+asio::awaitable<void> abort_write(tcp::socket& socket, pending_write& sent)
+{
+    error_code ignored;
+    socket.close(ignored);
+    while (!sent.is_done)
+    {
+        co_await sent.completed.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
 // Receives the bytes that are available, or waits for the first ones.
 asio::awaitable<void> read_some(pooled_connection& connection, error_code& ec)
 {
@@ -137,16 +156,29 @@
     connection.buffer.commit(count);
 }
 
-// True unless the response states that it belongs to another request.
-bool is_answer_to(answer const& full_answer, outgoing_request const& request)
+enum class answer_match
+{
+    // The response names the request, or none is expected to.
+    matching,
+    // The response names another request.
+    other,
+    unnamed
+};
+
+answer_match match(answer const& full_answer, outgoing_request const& request)
 {
     header_field const& expected = request.expected_answer_header;
     if (expected.name.empty())
     {
-        return true;
+        return answer_match::matching;
     }
     auto const found = find_header(full_answer.headers, expected.name);
-    return found.empty() || found == expected.value;
+    if (found.empty())
+    {
+        return answer_match::unnamed;
+    }
+    return found == expected.value ? answer_match::matching
+                                   : answer_match::other;
 }
 
 // Discards a leased connection unless it was given back.
@@ -210,7 +242,8 @@
 {
     using clock = std::chrono::steady_clock;
     auto const deadline = clock::now() + timeout;
-    auto const leased = co_await this->pool.lease(std::move(address), timeout);
+    auto const leased = co_await this->pool.lease(
+        std::move(address), timeout, request.expected_answer_header.value);
     if (auto const* const failure = std::get_if<connect_failure>(&leased))
     {
         co_return call_failure{control.is_cancelled()
@@ -237,6 +270,13 @@
     auto result =
         co_await this->exchange(connection, request, control, is_reusable);
     control.socket = nullptr;
+    auto const* const full_answer = std::get_if<answer>(&result);
+    auto const& request_id = request.expected_answer_header.value;
+    if (is_reusable && !request_id.empty() && full_answer != nullptr &&
+        full_answer->status >= first_error_status)
+    {
+        is_reusable = this->pool.note_failed_request(id, request_id);
+    }
     if (is_reusable && connection.buffer.size() == 0 && !control.is_cancelled())
     {
         lease.give_back();
@@ -252,10 +292,9 @@
 {
     // The response is read while the request is still being written: an
     // upstream may respond, and stop reading, before it has received the whole
-    // body. The write may outlast this call, so it shares ownership of the
-    // message.
-    auto const sent =
-        std::make_shared<pending_write>(to_message(request), request.body);
+    // body.
+    auto const sent = std::make_shared<pending_write>(
+        connection.socket.get_executor(), to_message(request), request.body);
     http::async_write(connection.socket,
                       sent->message,
                       [sent](error_code ec, std::size_t count)
@@ -263,13 +302,19 @@
                           sent->is_done = true;
                           sent->ec = ec;
                           sent->written = count;
+                          sent->completed.cancel();
                       });
     auto result =
         co_await this->read_answer(connection, request, control, is_reusable);
-    is_reusable = is_reusable && sent->is_done && !sent->ec;
+    bool const is_write_done = sent->is_done;
+    if (!is_write_done)
+    {
+        co_await abort_write(connection.socket, *sent);
+    }
+    is_reusable = is_reusable && is_write_done && !sent->ec;
     auto const* const failure = std::get_if<call_failure>(&result);
     bool const was_never_written =
-        failure != nullptr && sent->is_done && sent->ec && sent->written == 0;
+        failure != nullptr && is_write_done && sent->ec && sent->written == 0;
     if (was_never_written &&
         failure->failure == attempt_failure::closed_after_write)
     {
@@ -292,7 +337,14 @@
         auto result = co_await this->read_next_answer(
             connection, is_head, control, is_keep_alive);
         auto const* const full_answer = std::get_if<answer>(&result);
-        if (full_answer == nullptr || is_answer_to(*full_answer, request))
+        auto const matched = full_answer == nullptr
+                                 ? answer_match::matching
+                                 : match(*full_answer, request);
+        if (matched == answer_match::unnamed)
+        {
+            co_return call_failure{attempt_failure::malformed_answer, true};
+        }
+        if (matched != answer_match::other)
         {
             is_reusable = is_keep_alive && !has_skipped_late_answer;
             co_return result;
