Derive the rise of the store's era instead of keeping it twice

The node kept the last era that its modules had been informed of beside the highest one that the membership knows. Both change in the same step, so the era before the step is enough.

--- a/src/departures/departures.hpp
+++ b/src/departures/departures.hpp
@@ -59,7 +59,7 @@
     // True if the record has to be compared with `departed`, since the store
     // may have lost its latest version.
     bool is_check_due = false;
-    // Time of the last change to `departed`.
+    // When `departed` last changed, or was last read from the record.
     std::optional<instant> departed_changed_at;
     std::uint64_t record_revision = 0;
     std::optional<store_purpose> pending_purpose;
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -2,7 +2,6 @@
 #include "node/node.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace plantaintally::node
 {
@@ -18,13 +17,12 @@
     return membership::draw_peers(node.membership, gossip_peers, current);
 }
 
-// Informs the modules that depend on the history of the key-value store when it
-// has come back from an older copy.
-void apply_store_era(state& node, step& current)
+// Informs the modules that depend on the history of the key-value store if it
+// has come back from an older copy, which raises its era. `before` is the era
+// that was known before the step, zero if none was.
+void note_restore(state& node, std::uint64_t before, step& current)
 {
-    std::uint64_t const era = membership::store_era(node.membership);
-    std::uint64_t const before = std::exchange(node.handled_store_era, era);
-    if (before == 0 || before == era)
+    if (before == 0 || before == membership::store_era(node.membership))
     {
         return;
     }
@@ -52,9 +50,10 @@
                                       beat->routes_version,
                                       this->current);
         }
+        auto const era = membership::store_era(this->node.membership);
         membership::handle_message(
             this->node.membership, this->sender, received, this->current);
-        apply_store_era(this->node, this->current);
+        note_restore(this->node, era, this->current);
     }
 
     void operator()(configuration::message const& received) const
@@ -89,8 +88,9 @@
                         store_replied const& replied,
                         step& current)
 {
+    auto const era = membership::store_era(node.membership);
     membership::note_store_era(node.membership, replied.era, current);
-    apply_store_era(node, current);
+    note_restore(node, era, current);
     switch (replied.client)
     {
     case store_client::membership:
--- a/src/node/state.hpp
+++ b/src/node/state.hpp
@@ -105,8 +105,6 @@
     // callers' side.
     bool is_published_ready = false;
     std::uint64_t published_routes_version = 0;
-    // The era of the key-value store that the modules have been informed of.
-    std::uint64_t handled_store_era = 0;
     bool is_upstream_drain_requested = false;
     // The time last requested with wake_at.
     instant scheduled_wakeup = instant::max();
--- a/src/node/tests/store_restore_test.cpp
+++ b/src/node/tests/store_restore_test.cpp
@@ -21,6 +21,13 @@
     return codec::encode_route_table(table);
 }
 
+fake_store store_with_table()
+{
+    fake_store store;
+    store.put(std::string(routes::table_key), encode_table(1));
+    return store;
+}
+
 // One node process at a fake of the key-value store. A watch without news is
 // held open.
 struct process
@@ -34,6 +41,7 @@
     // While set, the calls stay open.
     bool is_withholding = false;
 
+    // Starts and runs until the table and the departures have been read.
     explicit process(fake_store& shared) : store(shared)
     {
         options startup;
@@ -41,6 +49,7 @@
         startup.has_routes = true;
         this->node = make_state(startup);
         this->handle(timer_fired{});
+        this->run_for(3s);
     }
 
     void handle(event const& incoming)
@@ -126,12 +135,10 @@
 
 TEST_CASE("a table whose revision was given out twice comes into force")
 {
-    fake_store store;
-    store.put(std::string(routes::table_key), encode_table(1));
+    fake_store store = store_with_table();
     fake_store const older = store;
     store.put(std::string(routes::table_key), encode_table(2));
     process node(store);
-    node.run_for(3s);
     REQUIRE(node.node.routes.in_force.version == 2);
     store.restore(older);
     store.put(std::string(routes::table_key), encode_table(3));
@@ -143,10 +150,8 @@
     "an acknowledged departure binds a process that starts after the store "
     "has lost the record")
 {
-    fake_store store;
-    store.put(std::string(routes::table_key), encode_table(1));
+    fake_store store = store_with_table();
     process node(store);
-    node.run_for(3s);
     node.report(1, upstream_phase::ready);
     fake_store const older = store;
     node.report(2, upstream_phase::draining);
@@ -155,17 +160,14 @@
     node.end_watch();
     node.run_for(1s);
     process restarted(store);
-    restarted.run_for(3s);
     restarted.report(3, upstream_phase::ready);
     CHECK_FALSE(restarted.has_upstream());
 }
 
 TEST_CASE("a departure whose write the store has lost is not acknowledged")
 {
-    fake_store store;
-    store.put(std::string(routes::table_key), encode_table(1));
+    fake_store store = store_with_table();
     process node(store);
-    node.run_for(3s);
     node.report(1, upstream_phase::ready);
     fake_store const older = store;
     node.is_withholding = true;
