Watch the route table at nodes that no peer informs

Cause: about 16 nodes watch the store and inform the others, but only members. A node whose upstream has not reported since its start is not a member: it is told nothing, and did not watch either, since the choice of watchers rested on the size of the fleet and the node's address alone.

Change: a node to which no peer has stated its version for 1.5 s watches the store until one does. Heartbeats state the version several times a second, so that no other node watches because of this.

Related paths, by reading: admission levels travel with requests, which such a node doesn't get from peers; changes of ranks were not examined.

--- a/src/routes/internal/routes.cpp
+++ b/src/routes/internal/routes.cpp
@@ -26,6 +26,10 @@
 // fleet the other nodes learn of changes from their peers, so that the number
 // of calls on the store doesn't grow with the fleet.
 constexpr std::size_t max_watchers = 16;
+// A node to which no peer has stated its version for this long watches the
+// key-value store itself. Peers state it in heartbeats, several times a second,
+// but only to nodes that are in their view of the fleet.
+constexpr duration peer_silence_limit = std::chrono::milliseconds(1500);
 // Time after which another peer is asked for a version.
 constexpr duration table_answer_timeout = std::chrono::milliseconds(200);
 
@@ -64,8 +68,12 @@
         return;
     }
     std::uint64_t const before = routes.in_force.version;
+    if (!routes.is_ready)
+    {
+        routes.is_ready = true;
+        routes.peer_heard_at = current.now.monotonic;
+    }
     routes.in_force = std::move(table);
-    routes.is_ready = true;
     routes.has_news = true;
     index_rules(routes);
     record(current,
@@ -197,11 +205,12 @@
     }
 };
 
-// Returns true if this node is one of those that watch the key-value store in
-// a fleet of this size.
-bool is_watcher(state const& routes, std::size_t member_count)
+// Returns true if this node watches the key-value store: it is one of those
+// that do in a fleet of this size, or no peer informs it.
+bool is_watcher(state const& routes, std::size_t member_count, instant now)
 {
-    if (!routes.is_ready || member_count <= max_watchers)
+    if (!routes.is_ready || member_count <= max_watchers ||
+        now - routes.peer_heard_at >= peer_silence_limit)
     {
         return true;
     }
@@ -318,9 +327,9 @@
     {
         return;
     }
-    if (!is_watcher(routes, member_count))
+    if (!is_watcher(routes, member_count, now))
     {
-        routes.next_read = now + watch_limit;
+        routes.next_read = routes.peer_heard_at + peer_silence_limit;
         return;
     }
     routes.cursor ? watch_store(routes, current) : read_store(routes, current);
@@ -332,6 +341,7 @@
                        step& current)
 {
     instant const now = current.now.monotonic;
+    routes.peer_heard_at = now;
     bool const is_requested = routes.requested_version >= version &&
                               now - routes.requested_at < table_answer_timeout;
     if (routes.is_enabled && version > routes.in_force.version && !is_requested)
--- a/src/routes/routes.hpp
+++ b/src/routes/routes.hpp
@@ -60,6 +60,9 @@
     instant next_read{};
     duration retry_delay{};
     instant next_table_request{};
+    // When a peer last stated the version that it has in force, or when this
+    // node's first table came into force.
+    instant peer_heard_at{};
     // True until the peers have been notified of the version in force.
     bool has_news = false;
     // The version that a peer was last asked for because it has a newer one,
--- a/src/routes/tests/routes_test.cpp
+++ b/src/routes/tests/routes_test.cpp
@@ -37,6 +37,7 @@
 struct routes_fixture : step_bench
 {
     routes::state routes;
+    std::size_t fleet_size = 2;
 
     routes_fixture()
     {
@@ -52,7 +53,7 @@
         this->now += elapsed;
         std::vector<std::string> const peers{"10.0.0.2:7000"};
         auto current = this->begin();
-        routes::handle_time(this->routes, peers, 2, current);
+        routes::handle_time(this->routes, peers, this->fleet_size, current);
     }
 
     // The store call that the last step emitted, or nullptr.
@@ -61,6 +62,13 @@
         return this->find<call_store>();
     }
 
+    // True if the last step emitted a watch of the store.
+    bool has_begun_watch() const
+    {
+        return this->call() != nullptr &&
+               std::holds_alternative<store_watch>(this->call()->request);
+    }
+
     bool has_asked_peers() const
     {
         return this->find<send_control>() != nullptr;
@@ -85,6 +93,23 @@
     }
 };
 
+// A node of a large fleet that has read its table and leaves it to others to
+// watch the store.
+routes_fixture make_unwatching_node()
+{
+    for (int host = 1;; ++host)
+    {
+        routes_fixture node;
+        node.fleet_size = 64;
+        node.routes.self.address = "10.0.1." + std::to_string(host) + ":7000";
+        node.reply_table(3, 10);
+        if (!node.has_begun_watch())
+        {
+            return node;
+        }
+    }
+}
+
 } // namespace
 
 TEST_CASE("the rule with the longest matching prefix is chosen")
@@ -202,6 +227,42 @@
     CHECK(is_asked(5));
 }
 
+// Guards against a node that is in no peer's view of the fleet, for example
+// since its upstream has not reported to it: nobody notifies such a node.
+TEST_CASE("a node that hears nothing from its peers watches the store itself")
+{
+    auto node = make_unwatching_node();
+    node.advance(1s);
+    CHECK_FALSE(node.has_begun_watch());
+    node.advance(600ms);
+    REQUIRE(node.has_begun_watch());
+    CHECK(std::get<store_watch>(node.call()->request).after_revision == 10);
+    node.reply_table(4, 11);
+    CHECK(node.routes.in_force.version == 4);
+    CHECK(node.has_begun_watch());
+}
+
+TEST_CASE("a node whose peers state their version leaves the watch to others")
+{
+    auto node = make_unwatching_node();
+    for (int count = 0; count < 60; ++count)
+    {
+        node.advance(500ms);
+        REQUIRE_FALSE(node.has_begun_watch());
+        auto current = node.begin();
+        routes::note_peer_version(node.routes, "10.0.0.2:7000", 3, current);
+    }
+    instant const last_heard = node.now;
+    while (!node.has_begun_watch() && node.now < last_heard + 1500ms)
+    {
+        auto const next = routes::next_wakeup(node.routes);
+        REQUIRE(next);
+        node.advance(*next - node.now);
+    }
+    CHECK(node.has_begun_watch());
+    CHECK(node.now == last_heard + 1500ms);
+}
+
 TEST_CASE(
     "a fleet of 300 learns a change within its bound from few store calls")
 {
