Let a departure bind that is the first report of its incarnation

Cause: a DELETE carries no start time. If the process had no report of the incarnation, the departure was recorded with start time 0 and closed nothing; a late heartbeat, in this process or in one that reads the record, put the upstream back into service.

Change: such a departure closes all incarnations of the name that have started by now, by the wall clock of the node. Later starts are other incarnations.

Evidence: departures_test, "a departure that is the first report of an incarnation closes it" and "a departure without a start time closes a later start that is unknown", failed before.

--- a/spec/departures.pml
+++ b/spec/departures.pml
@@ -15,8 +15,9 @@
  * incarnation is still running. The model assumes this (take_live_pair).
  *
  * Steps have the names of the functions in src/departures. Mutations that must
- * yield a counterexample: NO_RECORD, NO_LOOK, NO_BORN, NO_WAIT. REACH_ANEW and
- * REACH_WITHOUT_STORE assert that an incarnation is never opened for requests
+ * yield a counterexample: NO_RECORD, NO_LOOK, NO_BORN, NO_WAIT, NO_START_TIME
+ * (a departure without a start time closes only an incarnation that the node
+ * knows). REACH_ANEW and REACH_WITHOUT_STORE assert that an incarnation is never opened for requests
  * after an acknowledged departure or without the store; both assertions must
  * fail.
  */
@@ -71,6 +72,14 @@
 #define MAY_OPEN has_looked
 #endif
 
+/* The highest birth that a departure without a start time closes: the newest one
+ * so far, since the node compares start times with its wall clock. */
+#ifdef NO_START_TIME
+#define CLOSED_BY_DEPARTURE (present == born -> born : 0)
+#else
+#define CLOSED_BY_DEPARTURE born
+#endif
+
 /* A report that incarnation b is ready arrives, possibly late. */
 inline take_ready(b)
 {
@@ -106,7 +115,7 @@
 {
     atomic {
         is_leaving && !is_gone ->
-            left = (born > left -> born : left);
+            left = (CLOSED_BY_DEPARTURE > left -> CLOSED_BY_DEPARTURE : left);
             open = 0;
             waiting = 0;
             is_unrecorded = true;
--- a/src/departures/internal/departures.cpp
+++ b/src/departures/internal/departures.cpp
@@ -114,6 +114,14 @@
             incarnation.born_ms == departures.newest->born_ms);
 }
 
+std::uint64_t unix_milliseconds(wall_time time)
+{
+    auto const since_epoch = std::max(time.time_since_epoch(), duration::zero());
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch)
+            .count());
+}
+
 outcome open_candidate(state& departures, step& current)
 {
     outcome changes;
@@ -199,6 +207,12 @@
         departures.newest->sequence =
             std::max(departures.newest->sequence, incarnation.sequence);
     }
+    else if (incarnation.born_ms == 0)
+    {
+        // The departed incarnation is unknown here, so the departure closes all
+        // incarnations of this name that have started by now.
+        incarnation.born_ms = unix_milliseconds(current.now.wall);
+    }
     outcome changes;
     if (!has_departed(departures.departed, incarnation))
     {
--- a/src/departures/tests/departures_test.cpp
+++ b/src/departures/tests/departures_test.cpp
@@ -17,10 +17,11 @@
 // the store.
 struct process : step_bench
 {
+    std::uint64_t wall_ms;
     state departures;
     std::uint64_t last_report = 0;
 
-    process()
+    explicit process(std::uint64_t started_at_ms = 100) : wall_ms(started_at_ms)
     {
         this->departures.self.address = "10.0.0.1:7000";
         auto current = this->begin();
@@ -54,6 +55,14 @@
         handle_time(this->departures, current);
     }
 
+    // Begins a step at `now` and the wall-clock time of this process.
+    step begin()
+    {
+        step current = step_bench::begin();
+        current.now.wall = wall_time(std::chrono::milliseconds(this->wall_ms));
+        return current;
+    }
+
     // The record that the last step writes, or an empty string.
     std::string written_record() const
     {
@@ -202,3 +211,40 @@
     node.reply(store_written{3});
     CHECK(node.report(make_incarnation("i-2", 9, 2)).opened);
 }
+
+// Guards against a restart that loses what the node knew of its upstream: the
+// acknowledged DELETE of an unknown incarnation has to bind a late heartbeat,
+// in this process and in the next one.
+TEST_CASE("a departure that is the first report of an incarnation closes it")
+{
+    std::string record;
+    {
+        process node(100);
+        node.reply(store_missing{});
+        node.report(make_incarnation("i-1", 0, 0), upstream_phase::gone);
+        record = node.written_record();
+        CHECK(record == "100 i-1\n");
+        node.reply(store_written{7});
+        CHECK(node.has_acknowledged());
+        CHECK_FALSE(node.report(make_incarnation("i-1", 60, 3)).opened);
+        CHECK_FALSE(node.report(make_incarnation("i-1", 0, 3)).opened);
+        // A start after the departure is another incarnation.
+        CHECK(node.report(make_incarnation("i-1", 101, 1)).opened);
+    }
+    process next(200);
+    next.reply(store_entry{"k", record, 7});
+    CHECK_FALSE(next.report(make_incarnation("i-1", 60, 4)).opened);
+    CHECK(next.report(make_incarnation("i-1", 101, 2)).opened);
+}
+
+TEST_CASE(
+    "a departure without a start time closes a later start that is unknown")
+{
+    process node(100);
+    node.reply(store_entry{"k", "5 i-1\n", 7});
+    node.report(make_incarnation("i-2", 50, 1));
+    node.report(make_incarnation("i-1", 0, 0), upstream_phase::gone);
+    node.reply(store_written{8});
+    CHECK_FALSE(node.report(make_incarnation("i-1", 60, 1)).opened);
+    CHECK(node.report(make_incarnation("i-2", 50, 2)).opened);
+}
