Look at the deadline before each piece of an HTTP message

Cause: at the deadline the guard cancels pending I/O, and a read for which data is ready is never pending. Interim responses were skipped without a bound, and the library's composed reads, async_read_some among them, go on while the parser stops within a chunk's head.

Change: requests and answers are read by one function, piece by piece, which looks at the deadline first; at most 16 interim responses precede an answer.

Related paths: the clients of peers and of the store and all listeners use the same function; the drain of a closing connection was bounded already.

--- a/src/drivers/internal/deadline_guard.cpp
+++ b/src/drivers/internal/deadline_guard.cpp
@@ -63,7 +63,7 @@
 
 bool deadline_guard::is_expired() const
 {
-    return this->state->is_expired;
+    return this->state->is_expired || clock::now() >= this->state->deadline;
 }
 
 void deadline_guard::wait(std::shared_ptr<timer_state> const& state)
--- a/src/drivers/internal/deadline_guard.hpp
+++ b/src/drivers/internal/deadline_guard.hpp
@@ -1,4 +1,6 @@
-// Cancels the I/O on a socket at a deadline without closing the socket.
+// Cancels the pending I/O on a socket at a deadline without closing the socket.
+// I/O for which data is ready completes without being pending, so a loop of
+// reads must check is_expired() as well.
 #pragma once
 
 #include "base/moment.hpp"
@@ -23,7 +25,8 @@
     // Cancels the socket's I/O once `time_left` has passed.
     void arm(duration time_left);
     void disarm();
-    // True if the deadline passed while the guard was armed; reset by arm().
+    // True if the deadline has passed while the guard was armed; reset by
+    // arm().
     [[nodiscard]] bool is_expired() const;
 
 private:
--- a/src/drivers/internal/http_client.cpp
+++ b/src/drivers/internal/http_client.cpp
@@ -1,7 +1,7 @@
 #include "drivers/internal/http_client.hpp"
 
 #include "drivers/dialect.hpp"
-#include "drivers/internal/parse_buffered.hpp"
+#include "drivers/internal/read_piece.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -26,8 +26,8 @@
 constexpr unsigned http_version_1_1 = 11;
 constexpr unsigned first_final_status = 200;
 constexpr unsigned first_error_status = 400;
-// Size of the first read of a response.
-constexpr std::size_t first_read_bytes = 4096;
+// Interim (1xx) responses that may precede a response.
+constexpr std::size_t max_interim_answers = 16;
 
 request_message to_message(outgoing_request const& request)
 {
@@ -147,15 +147,6 @@
     }
 }
 
-// Receives the bytes that are available, or waits for the first ones.
-asio::awaitable<void> read_some(pooled_connection& connection, error_code& ec)
-{
-    auto const room = connection.buffer.prepare(first_read_bytes);
-    auto const count = co_await connection.socket.async_read_some(
-        room, asio::redirect_error(asio::use_awaitable, ec));
-    connection.buffer.commit(count);
-}
-
 enum class answer_match
 {
     // The response names the request, or none is expected to.
@@ -366,7 +357,9 @@
 {
     std::optional<parser> source;
     error_code ec;
-    do
+    std::size_t interim_answers = 0;
+    bool is_interim = true;
+    while (!ec && is_interim)
     {
         source.emplace();
         source->header_limit(this->config.max_header_bytes);
@@ -375,18 +368,24 @@
         source->eager(true);
         if (connection.buffer.size() == 0)
         {
-            co_await read_some(connection, ec);
+            co_await receive_piece(
+                connection.socket, connection.buffer, ec);
         }
         ec = ec ? ec : parse_buffered(connection.buffer, *source);
-        if (!ec && !source->is_header_done())
+        while (!ec && !source->is_header_done())
         {
-            co_await http::async_read_header(
-                connection.socket,
-                connection.buffer,
-                *source,
-                asio::redirect_error(asio::use_awaitable, ec));
+            co_await read_piece(connection.socket,
+                                connection.guard,
+                                connection.buffer,
+                                *source,
+                                ec);
         }
-    } while (!ec && source->get().result_int() < first_final_status);
+        is_interim = !ec && source->get().result_int() < first_final_status;
+        if (is_interim && ++interim_answers > max_interim_answers)
+        {
+            co_return call_failure{attempt_failure::malformed_answer, true};
+        }
+    }
     bool const has_begun = source->got_some();
     // A response delimited only by the end of the connection can't be told from
     // a truncated one, so it is accepted only where the upstream is known to
@@ -398,13 +397,13 @@
     {
         co_return call_failure{attempt_failure::incomplete_answer, true};
     }
-    if (!ec && !source->is_done())
+    while (!ec && !source->is_done())
     {
-        co_await http::async_read(
-            connection.socket,
-            connection.buffer,
-            *source,
-            asio::redirect_error(asio::use_awaitable, ec));
+        co_await read_piece(connection.socket,
+                            connection.guard,
+                            connection.buffer,
+                            *source,
+                            ec);
     }
     if (ec)
     {
--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -1,6 +1,6 @@
 #include "drivers/internal/request_reader.hpp"
 
-#include "drivers/internal/parse_buffered.hpp"
+#include "drivers/internal/read_piece.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -18,8 +18,6 @@
 namespace http = boost::beast::http;
 using parser = http::request_parser<http::string_body>;
 
-// Size of the first read of a request.
-constexpr std::size_t first_read_bytes = 4096;
 // Buffer space for the part of a body that is read together with the headers.
 constexpr std::size_t body_buffer_bytes = 64U << 10U;
 
@@ -138,17 +136,6 @@
 {
 }
 
-asio::awaitable<error_code> request_reader::read_first_bytes()
-{
-    error_code ec;
-    auto const room = this->buffer.prepare(first_read_bytes);
-    auto const count = co_await this->socket.async_read_some(
-        room, asio::redirect_error(asio::use_awaitable, ec));
-    this->buffer.commit(count);
-    this->byte_count += count;
-    co_return ec;
-}
-
 asio::awaitable<read_result> request_reader::read(bool is_idle_limited)
 {
     this->is_between_requests = this->buffer.size() == 0;
@@ -159,7 +146,9 @@
         {
             this->limit_idle();
         }
-        auto const ec = co_await this->read_first_bytes();
+        error_code ec;
+        this->byte_count +=
+            co_await receive_piece(this->socket, this->buffer, ec);
         if (ec)
         {
             co_return this->guard.is_expired() ? read_failure::idle
@@ -192,13 +181,10 @@
     source.eager(true);
     auto ec = parse_buffered(this->buffer, source);
     this->guard.arm(this->limits.header_timeout);
-    if (!ec && !source.is_header_done())
+    while (!ec && !source.is_header_done())
     {
-        this->byte_count += co_await http::async_read_header(
-            this->socket,
-            this->buffer,
-            source,
-            asio::redirect_error(asio::use_awaitable, ec));
+        this->byte_count += co_await read_piece(
+            this->socket, this->guard, this->buffer, source, ec);
     }
     if (ec && !source.is_header_done())
     {
@@ -244,11 +230,8 @@
     error_code ec;
     while (!ec && !source.is_done())
     {
-        this->byte_count += co_await http::async_read_some(
-            this->socket,
-            this->buffer,
-            source,
-            asio::redirect_error(asio::use_awaitable, ec));
+        this->byte_count += co_await read_piece(
+            this->socket, this->guard, this->buffer, source, ec);
         if (!ec && !hold.grow_to(known_body_bytes(source)))
         {
             ec = make_error_code(boost::system::errc::not_enough_memory);
--- a/src/drivers/internal/request_reader.hpp
+++ b/src/drivers/internal/request_reader.hpp
@@ -79,7 +79,6 @@
     std::uint64_t byte_count = 0;
     incoming_request refused_request;
 
-    asio::awaitable<error_code> read_first_bytes();
     asio::awaitable<read_result> read_message();
     // Reads the rest of the body while there is room for it.
     template <class Parser>
--- a/src/drivers/tests/answer_integrity_test.cpp
+++ b/src/drivers/tests/answer_integrity_test.cpp
@@ -356,6 +356,38 @@
     }
 }
 
+TEST_CASE("the number of interim responses before a response is limited")
+{
+    for (bool const is_allowed : {true, false})
+    {
+        scripted_server server(
+            [&](test_connection& connection, std::size_t)
+            {
+                connection.read_message();
+                std::string interim;
+                for (int count = 0; count < (is_allowed ? 16 : 17); ++count)
+                {
+                    interim += "HTTP/1.1 103 Early Hints\r\n\r\n";
+                }
+                connection.write(interim + ok_answer("done"));
+                connection.read_all();
+            });
+        client_fixture fixture;
+        auto const result = fixture.call(server.address());
+        if (is_allowed)
+        {
+            CHECK(body_text(result) == "done");
+        }
+        else
+        {
+            CHECK(failure_in(result).failure ==
+                  attempt_failure::malformed_answer);
+            CHECK(failure_in(result).is_written);
+        }
+        fixture.pool.close_idle();
+    }
+}
+
 TEST_CASE("bytes without end are cut off and their connection is not reused")
 {
     // A head that never ends, interim responses without end, and bodies without
--- a/src/drivers/tests/listener_test.cpp
+++ b/src/drivers/tests/listener_test.cpp
@@ -230,6 +230,36 @@
     CHECK(node.count<request_arrived>() == 0);
 }
 
+// Guards against a caller whose data is always ready, so that no read is ever
+// pending when the body's time is over.
+TEST_CASE("a body without end is cut off at its deadline")
+{
+    constexpr std::uint32_t ample_bytes = 1U << 30U;
+    driven_node node(
+        refuse_all,
+        [](settings::node_settings& config)
+        {
+            config.limits.max_body_bytes = ample_bytes;
+            config.limits.max_held_body_bytes = ample_bytes;
+            config.limits.body_timeout = std::chrono::milliseconds(200);
+        });
+    std::string chunks;
+    for (int count = 0; count < 10'000; ++count)
+    {
+        chunks += "1\r\nx\r\n";
+    }
+    test_connection caller(node.caller_address());
+    caller.write("PUT / HTTP/1.1\r\nHost: a\r\n"
+                 "Transfer-Encoding: chunked\r\n\r\n");
+    auto const started = std::chrono::steady_clock::now();
+    while (caller.write(chunks) && std::chrono::steady_clock::now() <
+                                       started + std::chrono::seconds(10))
+    {
+    }
+    CHECK(std::chrono::steady_clock::now() - started < std::chrono::seconds(2));
+    CHECK(node.count<request_arrived>() == 0);
+}
+
 TEST_CASE("idle connections are closed without a response")
 {
     driven_node node(refuse_all,
