Accept no request behind the answer that closes a connection

Cause: a session decides to close with the last pending answer, but went on to read and pass on requests while that answer was written, and dropped them.

Change: the decision also ends the acceptance of requests; a request that is being accepted keeps the connection open.

Evidence: runtime_test, "a stopping node takes no request behind the answer that closes", failed before (two requests passed on).

Related paths: a connection that its caller closes with "Connection: close", and one that is closed by refused input, end their reading before that answer.

--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -172,13 +172,16 @@
             this->handle_read_failure(*failure);
             break;
         }
-        // After the last request only the end of the connection is awaited.
-        if (!is_last)
+        // After the last request, or behind the last response, only the end of
+        // the connection is awaited.
+        if (!is_last && !this->is_last_answer)
         {
             auto& request = std::get<incoming_request>(read);
             is_last = !request.is_keep_alive;
-            this->add_pending(
-                co_await this->accept_request(std::move(request)));
+            this->is_accepting = true;
+            auto accepted = co_await this->accept_request(std::move(request));
+            this->is_accepting = false;
+            this->add_pending(std::move(accepted));
         }
     }
     this->has_read_all = true;
@@ -380,9 +383,10 @@
 asio::awaitable<bool> session::write(outgoing_answer content)
 {
     // A stopping node closes the connection with the last pending response.
-    bool const is_last = this->pending.size() <= 1;
+    bool const is_last = this->pending.size() <= 1 && !this->is_accepting;
     content.is_keep_alive =
         content.is_keep_alive && !(this->services.is_stopping && is_last);
+    this->is_last_answer = !content.is_keep_alive;
     auto const count = co_await write_answer(
         this->socket, this->write_guard, this->services.write_timeout, content);
     metric_name const sent{
--- a/src/drivers/internal/session.hpp
+++ b/src/drivers/internal/session.hpp
@@ -102,6 +102,11 @@
     // changes.
     asio::steady_timer state_changed;
     bool has_read_all = false;
+    // True while a request that has been read is being accepted.
+    bool is_accepting = false;
+    // True once a response is being written that closes the connection; no
+    // further request is accepted.
+    bool is_last_answer = false;
     bool is_closing = false;
     bool is_abandoned = false;
 
--- a/src/drivers/tests/runtime_test.cpp
+++ b/src/drivers/tests/runtime_test.cpp
@@ -341,6 +341,53 @@
     CHECK(node.count<stop_requested>() == 1);
 }
 
+// Guards against a request that is passed on although the answer before it, which
+// a slow caller is still reading, closes the connection.
+TEST_CASE("a stopping node takes no request behind the answer that closes")
+{
+    constexpr std::size_t ample_bytes = 24U << 20U;
+    exchange_id waiting;
+    auto const reduce = [&](event const& happened) -> effects
+    {
+        if (auto const* const arrived = std::get_if<request_arrived>(&happened))
+        {
+            waiting = arrived->exchange;
+            return {};
+        }
+        if (std::holds_alternative<upstream_gone>(happened))
+        {
+            return {refuse_request{
+                waiting, 503, std::string(ample_bytes, 'x'), {}}};
+        }
+        return std::holds_alternative<upstream_drain_requested>(happened)
+                   ? effects{exit_process{}}
+                   : effects{};
+    };
+    driven_node node(reduce, {}, true);
+    auto const call_locally = [&](std::string const& name)
+    {
+        test_connection local(node.local_address());
+        local.write("POST /plantaintally/v1/" + name +
+                    " HTTP/1.1\r\nHost: n\r\nContent-Length: 0\r\n\r\n");
+        return local.read_message();
+    };
+    test_connection caller(node.caller_address());
+    caller.write(booking_request);
+    node.wait_for<request_arrived>();
+    node.request_stop();
+    node.wait_for<stop_requested>();
+    CHECK(call_locally("gone").starts_with("HTTP/1.1 200 "));
+    caller.write(booking_request);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    auto const answer = caller.read_message();
+    CHECK(header_of(answer, "Connection") == "close");
+    CHECK(body_of(answer).size() > ample_bytes);
+    CHECK(caller.read_all().empty());
+    CHECK(node.count<request_arrived>() == 1);
+    call_locally("drain");
+    node.join();
+}
+
 TEST_CASE("every event is recorded and can be decoded")
 {
     auto const file =
