Answer the requests that are left at the limit of a planned stop

Callers whose requests were still open at the limit of a stop lost their connections without an answer, also those whose request had not run.

Change: before the process exits, each open request is answered: 503 and not run if it was not passed on, otherwise 504 and may have run.

Evidence: request_path_test, "requests left at the limit of a planned stop get a true answer", failed before (one answer of two).

--- a/src/node/internal/abandon.cpp
+++ b/src/node/internal/abandon.cpp
@@ -118,6 +118,44 @@
     }
 }
 
+void answer_open_requests(state& node, step& current)
+{
+    std::vector<exchange_id> open;
+    for (auto const& [id, request] : node.table.exchanges)
+    {
+        if (!request.is_answered)
+        {
+            open.push_back(id);
+        }
+    }
+    for (exchange_id const id : open)
+    {
+        exchange* request = find(node.table, id);
+        if (request == nullptr)
+        {
+            continue;
+        }
+        attempt_result result;
+        result.reason = refusal::draining;
+        result.detail = "the node has stopped";
+        if (request->phase == exchange_phase::attempting)
+        {
+            result.outcome = verdict::may_have_run;
+            answer_exchange(node, *request, result, current);
+            continue;
+        }
+        if (request->phase == exchange_phase::queued)
+        {
+            admission::cancel(node.admission,
+                              request->hop.rank,
+                              request->head.caller,
+                              request->id);
+        }
+        result.outcome = entrance_verdict(*request);
+        conclude(node, *request, result, current);
+    }
+}
+
 void handle_exchange_timers(state& node, step& current)
 {
     instant const now = current.now.monotonic;
--- a/src/node/internal/request_path.hpp
+++ b/src/node/internal/request_path.hpp
@@ -108,6 +108,9 @@
 // fired.
 void handle_caller_gone(state& node, exchange_id id, step& current);
 void handle_exchange_timers(state& node, step& current);
+// Answers all requests that have no answer yet, since the process is about to
+// exit: those that were not passed on did not run, the others may have.
+void answer_open_requests(state& node, step& current);
 
 // downstream.cpp: calls that the upstream makes while it executes a request.
 exchange* find_parent(state& node, std::string_view trace_id);
--- a/src/node/internal/upstream.cpp
+++ b/src/node/internal/upstream.cpp
@@ -287,6 +287,7 @@
     {
         return;
     }
+    answer_open_requests(node, current);
     membership::announce_leaving(node.membership, current);
     record(current, {}, "lifecycle", "stopped", {});
     current.out.push_back(exit_process{});
--- a/src/node/tests/request_path_test.cpp
+++ b/src/node/tests/request_path_test.cpp
@@ -172,6 +172,32 @@
     }
 }
 
+// Guards against a planned stop that closes its callers' connections without an
+// answer once its time is over.
+TEST_CASE("requests left at the limit of a planned stop get a true answer")
+{
+    virtual_fleet fleet(default_settings());
+    fleet.add(plan_of("edge"));
+    std::size_t const target = fleet.add(plan_of("c"));
+    fleet.form();
+    fleet.upstream(target).plan.service_time = 3s;
+    fleet.node(0).startup_options.stop_limit = 1s;
+    fleet.submit(0, make_head("c", "/book", "running", "POST"));
+    fleet.submit(0, make_head("unknown", "/book", "waiting", "POST"), 995ms);
+    fleet.inject(0, stop_requested{}, 10ms);
+    fleet.run_for(2s);
+    CHECK(fleet.has_exited(0));
+    REQUIRE(fleet.answers().size() == 2);
+    for (caller_answer const& answer : fleet.answers())
+    {
+        bool const is_running = answer.trace_id == "running";
+        CHECK(answer.outcome ==
+              (is_running ? verdict::may_have_run : verdict::not_run));
+        CHECK(answer.status == (is_running ? 504 : 503));
+        CHECK(answer.reason == "draining");
+    }
+}
+
 TEST_CASE("an unkeyed write whose answer is lost is not repeated")
 {
     virtual_fleet fleet(default_settings());
