Derive the limit of a planned stop from the platform's grace

Cause: the limit was a constant of the deploy file, for a grace of 6 s.

Change: the deploy file states the platform's grace, termination_grace_s, and the limit follows from it, 600 ms earlier: 5.4 s and 9.4 s. A limit that is set and ends later is an error at the start.

--- a/src/settings/internal/setting_rules.cpp
+++ b/src/settings/internal/setting_rules.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint64_t mebibyte = 1024 * kibibyte;
 constexpr std::uint64_t gibibyte = 1024 * mebibyte;
 constexpr std::uint64_t hour_ms = 3'600'000;
+constexpr double max_termination_grace_s = 3'600;
 constexpr std::uint64_t max_connection_limit = 100'000;
 
 constexpr std::string_view allowed_endpoint =
@@ -142,6 +143,11 @@
                                  {0, std::numeric_limits<std::uint64_t>::max()},
                                  [](node_settings& target) -> std::uint64_t&
                                  { return target.node.seed; }));
+    rules.push_back(decimal_rule("node",
+                                 "termination_grace_s",
+                                 max_termination_grace_s,
+                                 [](node_settings& target) -> double&
+                                 { return target.node.termination_grace_s; }));
     rules.push_back(milliseconds_rule("node",
                                       "stop_limit_ms",
                                       {0, hour_ms},
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -214,6 +214,40 @@
     return {};
 }
 
+// Derives the limit of a planned stop from the termination grace, or checks that
+// the given limit ends before it. Returns an error message or an empty text.
+std::string settle_stop_limit(ini_file const& file,
+                              std::set<std::string> const& seen_keys,
+                              node_settings& target,
+                              std::string_view file_name)
+{
+    if (target.node.termination_grace_s == 0)
+    {
+        return {};
+    }
+    auto const grace = std::chrono::duration_cast<milliseconds>(
+        std::chrono::duration<double>(target.node.termination_grace_s));
+    auto const latest = std::max(grace - exit_time, milliseconds(0));
+    auto const name = qualified_key("node", "stop_limit_ms");
+    if (!seen_keys.contains(name))
+    {
+        target.node.stop_limit = latest;
+        return {};
+    }
+    if (target.node.stop_limit <= latest)
+    {
+        return {};
+    }
+    return format_error(file_name,
+                        heading_line(file, "node"),
+                        name,
+                        std::to_string(target.node.stop_limit.count()) +
+                            " ends too late for termination_grace_s",
+                        "at most " + std::to_string(latest.count()) + ", " +
+                            std::to_string(exit_time.count()) +
+                            " less than the termination grace");
+}
+
 } // namespace
 
 result<node_settings> parse_settings(std::string_view text,
@@ -243,6 +277,10 @@
     {
         problem = check_ports(file, target, file_name);
     }
+    if (problem.empty())
+    {
+        problem = settle_stop_limit(file, seen_keys, target, file_name);
+    }
     if (!problem.empty())
     {
         return fail(errc::invalid_input, problem);
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -31,6 +31,10 @@
 // Parses IP:PORT or [IPv6]:PORT. Fails with errc::invalid_input and the reason.
 result<endpoint> parse_endpoint(std::string_view text);
 
+// Time that a node takes to end once the limit of a planned stop has passed:
+// responses are written, and the last control messages are sent.
+inline constexpr milliseconds exit_time{600};
+
 // Section [node]: identity, addresses and shutdown of this node.
 struct node_section
 {
@@ -45,7 +49,11 @@
     std::vector<std::string> contacts;
     // Seed of the reducer's random generator; zero: a random seed at start.
     std::uint64_t seed = 0;
+    // Seconds from the request to stop until the platform kills the process;
+    // zero: it doesn't.
+    double termination_grace_s = 0;
     // Longest time that a planned stop waits for requests in flight to finish.
+    // If it is not set, it follows from the termination grace.
     milliseconds stop_limit{60'000};
     // Shortest time for which a planned stop continues to serve callers.
     milliseconds stop_linger{0};
--- a/src/settings/tests/settings_test.cpp
+++ b/src/settings/tests/settings_test.cpp
@@ -123,6 +123,32 @@
           "allowed: on, off");
 }
 
+// Guards against a planned stop that ends long before the platform's grace, or
+// that is cut off by it.
+TEST_CASE("the limit of a planned stop follows from the termination grace")
+{
+    auto const limit_of = [](std::string const& lines)
+    {
+        auto const read =
+            parse_settings(node_lines + lines + platform_lines, "node.ini");
+        REQUIRE(read.has_value());
+        return read.value().node.stop_limit.count();
+    };
+    CHECK(limit_of("") == 60'000);
+    CHECK(limit_of("termination_grace_s = 6\n") == 5'400);
+    CHECK(limit_of("termination_grace_s = 10\n") == 9'400);
+    CHECK(limit_of("termination_grace_s = 2.5\n") == 1'900);
+    CHECK(limit_of("termination_grace_s = 0.5\n") == 0);
+    CHECK(limit_of("termination_grace_s = 10\nstop_limit_ms = 4000\n") ==
+          4'000);
+    CHECK(problem_of(node_lines +
+                     "termination_grace_s = 6\nstop_limit_ms = 5401\n" +
+                     platform_lines) ==
+          "node.ini:1: node.stop_limit_ms: 5401 ends too late for "
+          "termination_grace_s; allowed: at most 5400, 600 less than the "
+          "termination grace");
+}
+
 TEST_CASE("invalid addresses are rejected")
 {
     auto const problem_with =
