Drain the incarnation in service even if a newer one is waiting

Requests could reach an upstream whose departure had been acknowledged, until a newer incarnation was put into service.

Cause: a departure ended the service only of the newest known incarnation. After a write of the record with an unknown result, a newer one waits for the record while the former one is still in service.

Change: the incarnation in service is kept beside the newest one, and a departure of either ends its service.

Evidence: departures_test, "the incarnation in service leaves while a newer one waits", failed before.

--- a/src/departures/departures.hpp
+++ b/src/departures/departures.hpp
@@ -45,6 +45,8 @@
     std::optional<upstream_incarnation> newest;
     bool is_newest_leaving = false;
     std::optional<candidate> waiting_candidate;
+    // The incarnation that was last put into service; unset once it is leaving.
+    std::optional<upstream_incarnation> in_service;
     // Departed incarnations, oldest first.
     std::vector<upstream_incarnation> departed;
     // Reports of departures that are acknowledged once the record is written.
@@ -72,7 +74,7 @@
 {
     // Set if the upstream is ready for work.
     std::optional<upstream_announcement> opened;
-    // True if the newest incarnation has begun to leave.
+    // True if the newest incarnation, or the one in service, has begun to leave.
     bool is_leaving = false;
 };
 
--- a/src/departures/internal/departures.cpp
+++ b/src/departures/internal/departures.cpp
@@ -106,12 +106,14 @@
            incarnation.sequence != 0 && incarnation.sequence <= known.sequence;
 }
 
-bool is_newest(state const& departures, upstream_incarnation const& incarnation)
+// Returns true if the report may be of this incarnation: a departure can come
+// without a start time.
+bool may_be_of(std::optional<upstream_incarnation> const& known,
+               upstream_incarnation const& reported)
 {
-    return departures.newest &&
-           departures.newest->instance == incarnation.instance &&
-           (incarnation.born_ms == 0 || departures.newest->born_ms == 0 ||
-            incarnation.born_ms == departures.newest->born_ms);
+    return known && known->instance == reported.instance &&
+           (reported.born_ms == 0 || known->born_ms == 0 ||
+            reported.born_ms == known->born_ms);
 }
 
 std::uint64_t unix_milliseconds(wall_time time)
@@ -143,6 +145,7 @@
            "ready",
            describe(ready.incarnation) +
                " looked=" + (departures.is_record_read ? "true" : "false"));
+    departures.in_service = ready.incarnation;
     changes.opened = ready.announcement;
     return changes;
 }
@@ -159,7 +162,7 @@
         record(current, "", "departures", "ignored", describe(incarnation));
         return {};
     }
-    bool const is_known = is_newest(departures, incarnation);
+    bool const is_known = may_be_of(departures.newest, incarnation);
     departures.newest = incarnation;
     if (!is_known)
     {
@@ -180,6 +183,7 @@
                    ? open_candidate(departures, current)
                    : outcome{};
     }
+    departures.in_service = incarnation;
     outcome changes;
     changes.opened = reported.announcement;
     return changes;
@@ -199,7 +203,7 @@
         departures.newest = incarnation;
         departures.is_newest_leaving = false;
     }
-    bool const concerns_newest = is_newest(departures, incarnation);
+    bool const concerns_newest = may_be_of(departures.newest, incarnation);
     if (concerns_newest)
     {
         incarnation.born_ms =
@@ -207,7 +211,15 @@
         departures.newest->sequence =
             std::max(departures.newest->sequence, incarnation.sequence);
     }
-    else if (incarnation.born_ms == 0)
+    bool const concerns_service =
+        may_be_of(departures.in_service, incarnation);
+    if (concerns_service)
+    {
+        incarnation.born_ms =
+            std::max(incarnation.born_ms, departures.in_service->born_ms);
+        departures.in_service.reset();
+    }
+    if (!concerns_newest && !concerns_service && incarnation.born_ms == 0)
     {
         // The departed incarnation is unknown here, so the departure closes all
         // incarnations of this name that have started by now.
@@ -228,10 +240,13 @@
                describe(incarnation) +
                    " present=" + (concerns_newest ? "true" : "false"));
     }
+    changes.is_leaving = concerns_service;
     if (concerns_newest)
     {
         departures.waiting_candidate.reset();
-        changes.is_leaving = !std::exchange(departures.is_newest_leaving, true);
+        bool const was_leaving =
+            std::exchange(departures.is_newest_leaving, true);
+        changes.is_leaving = changes.is_leaving || !was_leaving;
     }
     if (departures.has_unrecorded)
     {
--- a/src/departures/tests/departures_test.cpp
+++ b/src/departures/tests/departures_test.cpp
@@ -248,3 +248,23 @@
     CHECK_FALSE(node.report(make_incarnation("i-1", 60, 1)).opened);
     CHECK(node.report(make_incarnation("i-2", 50, 2)).opened);
 }
+
+// Guards against a newer incarnation, which waits for the record, hiding the one
+// that is still in service.
+TEST_CASE("the incarnation in service leaves while a newer one waits")
+{
+    process node;
+    node.reply(store_missing{});
+    REQUIRE(node.report(make_incarnation("i-1", 5, 1)).opened);
+    // After a write with an unknown result the record has to be read again.
+    node.report(make_incarnation("i-0", 2, 9), upstream_phase::gone);
+    node.reply(store_unavailable{true});
+    REQUIRE_FALSE(node.report(make_incarnation("i-2", 9, 1)).opened);
+    CHECK(node.report(make_incarnation("i-1", 0, 0), upstream_phase::gone)
+              .is_leaving);
+    node.advance(1s);
+    auto const after_read = node.reply(store_missing{});
+    REQUIRE(after_read.opened);
+    CHECK(after_read.opened->instance == "i-2");
+    CHECK(node.written_record() == "2 i-0\n5 i-1\n");
+}
