Acknowledge only the departures that a write of the record covers

A departure that arrived while the record was being written was acknowledged at the end of that write, though it was not in it. After a crash a late heartbeat could put the upstream back into service.

Change: the reports that a write covers are fixed at its beginning; a write that fails or is void gives them back.

Evidence: departures_test, "a departure during a write is acknowledged by the next write", failed before. The model splits the write; it finds the former rule (ACK_ALL) unsafe and the new one safe.

Related paths: the record is the only one that is written before something is acknowledged on the path of the platform; src/once was not examined.

--- a/spec/departures.pml
+++ b/spec/departures.pml
@@ -17,7 +17,8 @@
  * Steps have the names of the functions in src/departures. Mutations that must
  * yield a counterexample: NO_RECORD, NO_LOOK, NO_BORN, NO_WAIT, NO_START_TIME
  * (a departure without a start time closes only an incarnation that the node
- * knows). REACH_ANEW and REACH_WITHOUT_STORE assert that an incarnation is never opened for requests
+ * knows), ACK_ALL (the end of a write acknowledges departures that arrived after
+ * its beginning). REACH_ANEW and REACH_WITHOUT_STORE assert that an incarnation is never opened for requests
  * after an acknowledged departure or without the store; both assertions must
  * fail.
  */
@@ -44,6 +45,11 @@
 bool is_unrecorded = false;
 byte asking = 0;
 
+/* The pending write: the highest birth in it, zero if there is none, and the
+ * birth whose departure it acknowledges. */
+byte writing = 0;
+byte covered = 0;
+
 /* The highest birth whose departure was acknowledged. */
 byte acknowledged = 0;
 
@@ -142,27 +148,63 @@
     }
 }
 
-/* Writes the record; the reply arrives or is lost. After a lost reply the
- * record is read again. */
-inline write_record()
+/* Begins to write the record. A departure that arrives before the write has
+ * ended needs another one. */
+inline begin_write()
+{
+    atomic {
+        has_looked && is_unrecorded && writing == 0 ->
+            writing = left;
+            covered = asking;
+            asking = 0;
+            is_unrecorded = false
+    }
+}
+
+/* The write ends; the reply arrives or is lost. After a lost reply the record is
+ * read again, and written again. */
+inline end_write()
 {
     atomic {
-        is_store_up && has_looked && is_unrecorded ->
-            recorded = (left > recorded -> left : recorded);
+        is_store_up && writing != 0 ->
+            recorded = (writing > recorded -> writing : recorded);
+            writing = 0;
+#ifdef ACK_ALL
+            covered = (asking > covered -> asking : covered);
+#endif
             if
-            :: is_unrecorded = false;
-               acknowledged = (asking > acknowledged -> asking : acknowledged);
-               asking = 0
-            :: has_looked = false
+            :: acknowledged = (covered > acknowledged -> covered : acknowledged)
+            :: has_looked = false;
+               is_unrecorded = true;
+               asking = (covered > asking -> covered : asking)
             fi;
+            covered = 0;
             check()
     }
 }
 
-/* The node restarts without its memory. */
+/* The write fails without an effect. */
+inline fail_write()
+{
+    atomic {
+        writing != 0 ->
+            writing = 0;
+            has_looked = false;
+            is_unrecorded = true;
+            asking = (covered > asking -> covered : asking);
+            covered = 0
+    }
+}
+
+/* The node restarts without its memory; a pending write may still be made. */
 inline crash()
 {
     atomic {
+        if
+        :: recorded = (writing > recorded -> writing : recorded)
+        :: writing = 0
+        fi;
+        writing = 0; covered = 0;
         left = 0; present = 0; open = 0; waiting = 0; asking = 0;
         has_looked = false; is_unrecorded = false;
     }
@@ -181,7 +223,9 @@
     :: atomic { asking != 0 -> acknowledged = asking; asking = 0 }
 #endif
     :: look()
-    :: write_record()
+    :: begin_write()
+    :: end_write()
+    :: fail_write()
     :: crash()
     :: atomic { is_store_up = !is_store_up }
     /* The first incarnation ends and the second one starts under its name. */
--- a/src/departures/departures.hpp
+++ b/src/departures/departures.hpp
@@ -49,14 +49,17 @@
     std::optional<upstream_incarnation> in_service;
     // Departed incarnations, oldest first.
     std::vector<upstream_incarnation> departed;
-    // Reports of departures that are acknowledged once the record is written.
+    // Reports of departures that are acknowledged once the next write of the
+    // record has ended, and those that the pending write records.
     std::vector<report_id> unanswered_reports;
+    std::vector<report_id> reports_being_recorded;
 
     bool is_started = false;
     // False until the stored record has been read, and again after a failed
     // write until it has been read again.
     bool is_record_read = false;
-    // True if `departed` holds incarnations that are not recorded yet.
+    // True if `departed` holds incarnations that neither the record nor the
+    // pending write contains.
     bool has_unrecorded = false;
     // True if the record has to be compared with `departed`, since the store
     // may have lost its latest version.
--- a/src/departures/internal/departures.cpp
+++ b/src/departures/internal/departures.cpp
@@ -66,9 +66,22 @@
     update.key = record_key(departures.self.address);
     update.expected_revision = departures.record_revision;
     update.value = encode_record(departures.departed);
+    departures.has_unrecorded = false;
+    departures.reports_being_recorded =
+        std::exchange(departures.unanswered_reports, {});
     begin_call(departures, store_purpose::write, std::move(update), current);
 }
 
+// The pending write is void or has failed: its departures have to be written
+// again.
+void revoke_record_write(state& departures)
+{
+    departures.has_unrecorded = true;
+    auto& waiting = departures.unanswered_reports;
+    auto const revoked = std::exchange(departures.reports_being_recorded, {});
+    waiting.insert(waiting.begin(), revoked.begin(), revoked.end());
+}
+
 // Makes the next call to the platform's key-value store if one is needed and
 // due.
 void begin_due_call(state& departures, step& current)
@@ -254,14 +267,20 @@
         begin_due_call(departures, current);
         return changes;
     }
+    if (departures.pending_purpose == store_purpose::write)
+    {
+        departures.reports_being_recorded.push_back(reported.report);
+        return changes;
+    }
     answer(reported.report, true, current);
     return changes;
 }
 
-void answer_reports(state& departures, bool is_accepted, step& current)
+void answer_reports(std::vector<report_id> const& reports,
+                    bool is_accepted,
+                    step& current)
 {
-    for (report_id const report :
-         std::exchange(departures.unanswered_reports, {}))
+    for (report_id const report : reports)
     {
         answer(report, is_accepted, current);
     }
@@ -276,7 +295,8 @@
     {
         record(current, "", "departures", "not-recorded", {});
     }
-    answer_reports(departures, false, current);
+    answer_reports(
+        std::exchange(departures.unanswered_reports, {}), false, current);
 }
 
 // Merges the stored record into the departures in memory, and has it written
@@ -335,10 +355,12 @@
     if (auto const* written = std::get_if<store_written>(&result))
     {
         departures.record_revision = written->revision;
-        departures.has_unrecorded = false;
-        answer_reports(departures, true, current);
+        answer_reports(
+            std::exchange(departures.reports_being_recorded, {}), true, current);
+        begin_due_call(departures, current);
         return;
     }
+    revoke_record_write(departures);
     // After a conflict or a write whose result is unknown, the record has to be
     // read again before the next write.
     departures.is_record_read = false;
@@ -408,9 +430,13 @@
     bool const is_recent =
         departures.departed_changed_at &&
         now - *departures.departed_changed_at <= max_checked_age;
-    bool const is_call_void =
-        std::exchange(departures.pending_purpose, std::nullopt).has_value();
-    if (is_recent || is_call_void)
+    auto const void_call =
+        std::exchange(departures.pending_purpose, std::nullopt);
+    if (void_call == store_purpose::write)
+    {
+        revoke_record_write(departures);
+    }
+    if (is_recent || void_call)
     {
         departures.is_check_due = true;
         departures.next_call =
--- a/src/departures/tests/departures_test.cpp
+++ b/src/departures/tests/departures_test.cpp
@@ -74,6 +74,18 @@
         return write == nullptr ? std::string() : write->value;
     }
 
+    // The number of reports that the last step acknowledged.
+    std::ptrdiff_t count_acknowledged() const
+    {
+        return std::ranges::count_if(
+            this->out,
+            [](effect const& each)
+            {
+                auto const* answer = std::get_if<answer_report>(&each);
+                return answer != nullptr && answer->is_accepted;
+            });
+    }
+
     bool has_acknowledged(bool is_accepted = true) const
     {
         auto const* answer = this->find<answer_report>();
@@ -268,3 +280,47 @@
     CHECK(after_read.opened->instance == "i-2");
     CHECK(node.written_record() == "2 i-0\n5 i-1\n");
 }
+
+// Guards against an acknowledgement by a write that began before the departure.
+TEST_CASE("a departure during a write is acknowledged by the next write")
+{
+    process node;
+    node.reply(store_missing{});
+    node.report(make_incarnation("i-1", 5, 1), upstream_phase::draining);
+    REQUIRE(node.written_record() == "5 i-1\n");
+    node.report(make_incarnation("i-2", 9, 1), upstream_phase::draining);
+    CHECK(node.written_record().empty());
+    node.reply(store_written{7});
+    CHECK(node.count_acknowledged() == 1);
+    CHECK(node.written_record() == "5 i-1\n9 i-2\n");
+    // A repetition waits for the write as well.
+    node.report(make_incarnation("i-2", 9, 2), upstream_phase::draining);
+    CHECK(node.count_acknowledged() == 0);
+    node.reply(store_written{8});
+    CHECK(node.count_acknowledged() == 2);
+}
+
+TEST_CASE("departures around a write that fails are recorded by the next one")
+{
+    process node;
+    node.reply(store_missing{});
+    node.report(make_incarnation("i-1", 5, 1), upstream_phase::draining);
+    node.report(make_incarnation("i-2", 9, 1), upstream_phase::draining);
+    SECTION("after a conflict at once")
+    {
+        node.reply(store_conflict{});
+        CHECK(node.count_acknowledged() == 0);
+    }
+    SECTION("after an unknown result once the store is available")
+    {
+        node.reply(store_unavailable{true});
+        CHECK(node.has_acknowledged(false));
+        node.report(make_incarnation("i-1", 5, 2), upstream_phase::draining);
+        node.report(make_incarnation("i-2", 9, 2), upstream_phase::draining);
+        node.advance(1s);
+    }
+    node.reply(store_entry{"k", "5 i-1\n", 9});
+    CHECK(node.written_record() == "5 i-1\n9 i-2\n");
+    node.reply(store_written{10});
+    CHECK(node.count_acknowledged() == 2);
+}
