Read a route table from the store that no peer sends

Cause: a node that is told of a newer version asks the peer that has it, on a link of its own. If that link is silent, the question is lost each time.

Change: if the version has not come within 0.4 s of the first word of it, the node reads the store, and again while a peer still states a newer version.

Evidence: routes_test, "a version that no peer sends is read from the store", failed before.

--- a/src/routes/internal/routes.cpp
+++ b/src/routes/internal/routes.cpp
@@ -33,6 +33,9 @@
 // Time after which another peer is asked for a version.
 constexpr duration table_answer_timeout = std::chrono::milliseconds(200);
 
+// Time for peers to send a newer version before it is read from the store.
+constexpr duration peer_answer_limit = std::chrono::milliseconds(400);
+
 void index_rules(state& routes)
 {
     routes.rules_by_host.clear();
@@ -74,6 +77,7 @@
         routes.peer_heard_at = current.now.monotonic;
     }
     routes.in_force = std::move(table);
+    routes.missing_version_read.reset();
     routes.has_news = true;
     index_rules(routes);
     record(current,
@@ -323,6 +327,12 @@
         }
     }
     send_news(routes, peers, member_count, current);
+    if (routes.missing_version_read && now >= *routes.missing_version_read)
+    {
+        // Set again when a peer still states a newer version.
+        routes.missing_version_read.reset();
+        return read_store(routes, current);
+    }
     if (!routes.calls.empty() || now < routes.next_read)
     {
         return;
@@ -344,7 +354,13 @@
     routes.peer_heard_at = now;
     bool const is_requested = routes.requested_version >= version &&
                               now - routes.requested_at < table_answer_timeout;
-    if (routes.is_enabled && version > routes.in_force.version && !is_requested)
+    bool const is_missing =
+        routes.is_enabled && version > routes.in_force.version;
+    if (is_missing && !routes.missing_version_read)
+    {
+        routes.missing_version_read = now + peer_answer_limit;
+    }
+    if (is_missing && !is_requested)
     {
         routes.requested_version = version;
         routes.requested_at = now;
@@ -372,7 +388,7 @@
     {
         next = std::min(next, routes.next_table_request);
     }
-    return next;
+    return std::min(next, routes.missing_version_read.value_or(next));
 }
 
 } // namespace plantaintally::routes
--- a/src/routes/routes.hpp
+++ b/src/routes/routes.hpp
@@ -69,6 +69,9 @@
     // and when.
     std::uint64_t requested_version = 0;
     instant requested_at{};
+    // When the store is read for a version that peers have but have not sent;
+    // unset while none is known.
+    std::optional<instant> missing_version_read{};
 };
 
 void start(state& routes, step& current);
--- a/src/routes/tests/routes_test.cpp
+++ b/src/routes/tests/routes_test.cpp
@@ -263,6 +263,50 @@
     CHECK(node.now == last_heard + 1500ms);
 }
 
+// Guards against a peer that states a newer version but can't be asked for it,
+// since the link to it is silent.
+TEST_CASE("a version that no peer sends is read from the store")
+{
+    auto node = make_unwatching_node();
+    auto const hear = [&](std::uint64_t version)
+    {
+        auto current = node.begin();
+        routes::note_peer_version(
+            node.routes, "10.0.0.2:7000", version, current);
+    };
+    auto const is_reading = [&]
+    {
+        return node.call() != nullptr &&
+               std::holds_alternative<store_get>(node.call()->request);
+    };
+    hear(4);
+    node.advance(300ms);
+    CHECK(node.call() == nullptr);
+    hear(4);
+    node.advance(200ms);
+    REQUIRE(is_reading());
+    auto const read = node.call()->call;
+    // Repeated only if a peer still states the version, also while the first
+    // call has no result.
+    node.advance(500ms);
+    CHECK(node.call() == nullptr);
+    hear(4);
+    node.advance(500ms);
+    CHECK(is_reading());
+    auto current = node.begin();
+    routes::handle_store(node.routes,
+                         read,
+                         store_entry{std::string(routes::table_key),
+                                     codec::encode_route_table(make_table(4)),
+                                     11,
+                                     11},
+                         current);
+    CHECK(node.routes.in_force.version == 4);
+    hear(4);
+    node.advance(1s);
+    CHECK_FALSE(is_reading());
+}
+
 TEST_CASE(
     "a fleet of 300 learns a change within its bound from few store calls")
 {
