--- a/src/drivers/internal/control_link.cpp
+++ b/src/drivers/internal/control_link.cpp
@@ -393,7 +393,7 @@
         tcp::endpoint const endpoint(
             asio::ip::make_address(address.value().host), address.value().port);
         this->lru_addresses.push_front(peer_address);
-        auto const link = std::make_shared<outgoing_link>(
+        auto link = std::make_shared<outgoing_link>(
             this->tasks.executor(), endpoint, this->lru_addresses.begin());
         this->links.emplace(peer_address, link);
         this->driver_metrics.set({"control_links"},
