Don't take the trailers of a request for its headers

A caller whose chunked body ended with a trailer named like a header that nodes read (the request's id, Host, the deadline) was answered 400, for a duplicate or an unreadable value. Any other trailer was passed on to the upstream as a header.

Cause: the HTTP library adds trailers to the fields of the message, and the request was made of all fields once its body was complete. The class is that of the denied requests: something that is no part of the head is judged as one.

The headers are now taken when the head is complete; trailers are dropped.

Evidence: platform_test, "trailers neither deny a request nor change its headers", failed before for each of its four trailers: three times 400, and Authorization arrived at the upstream.

--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -16,7 +16,24 @@
 {
 
 namespace http = boost::beast::http;
-using parser = http::request_parser<http::string_body>;
+
+// Keeps the headers apart from the trailers, which the library adds to them.
+class parser : public http::request_parser<http::string_body>
+{
+public:
+    std::vector<header_field> headers;
+
+private:
+    void on_header_impl(error_code& ec) override
+    {
+        for (auto const& field : this->get())
+        {
+            this->headers.push_back(
+                {std::string(field.name_string()), std::string(field.value())});
+        }
+        ec = {};
+    }
+};
 
 // Buffer space for the part of a body that is read together with the headers.
 constexpr std::size_t body_buffer_bytes = 64U << 10U;
@@ -49,18 +66,12 @@
 {
     bool const is_keep_alive = source.keep_alive();
     auto message = source.release();
-    incoming_request request{std::string(message.method_string()),
-                             std::string(message.target()),
-                             {},
-                             std::move(message.body()),
-                             is_keep_alive,
-                             {}};
-    for (auto const& field : message)
-    {
-        request.headers.push_back(
-            {std::string(field.name_string()), std::string(field.value())});
-    }
-    return request;
+    return {std::string(message.method_string()),
+            std::string(message.target()),
+            std::move(source.headers),
+            std::move(message.body()),
+            is_keep_alive,
+            {}};
 }
 
 asio::awaitable<void> write_continue(tcp::socket& socket)
@@ -81,17 +92,11 @@
 incoming_request copy_head(parser const& source)
 {
     auto const& message = source.get();
-    incoming_request head{std::string(message.method_string()),
-                          std::string(message.target()),
-                          {},
-                          {},
-                          false};
-    for (auto const& field : message)
-    {
-        head.headers.push_back(
-            {std::string(field.name_string()), std::string(field.value())});
-    }
-    return head;
+    return {std::string(message.method_string()),
+            std::string(message.target()),
+            source.headers,
+            {},
+            false};
 }
 
 bool expects_continue(parser const& head)
