Accept request targets in absolute form

A caller that names the server in the target (GET http://HOST/PATH), as HTTP/1.1 clients may and servers must accept (RFC 9112, section 3.2.2), was answered 400.

Cause: only targets that are a path were read.

The reader replaces such a target by its path, and Host by its authority, which takes precedence.

Evidence: platform_test, "a request with a target in absolute form is not denied", failed before with 400 for both targets.

--- a/src/drivers/internal/arrival.cpp
+++ b/src/drivers/internal/arrival.cpp
@@ -302,6 +302,28 @@
     return parsed;
 }
 
+void use_origin_form(incoming_request& request)
+{
+    constexpr std::string_view scheme = "http://";
+    if (!codec::has_prefix_ignoring_case(request.target, scheme))
+    {
+        return;
+    }
+    auto const rest = std::string_view(request.target).substr(scheme.size());
+    auto const end = rest.find_first_of("/?");
+    std::string const authority(rest.substr(0, end));
+    std::string path(end == std::string_view::npos ? "" : rest.substr(end));
+    if (!path.starts_with('/'))
+    {
+        path.insert(0, "/");
+    }
+    request.target = std::move(path);
+    std::erase_if(request.headers,
+                  [](header_field const& header)
+                  { return equals_ignoring_case(header.name, "Host"); });
+    request.headers.push_back({"Host", authority});
+}
+
 header_field to_peer_header(header_field const& forwarded)
 {
     if (!is_node_header(forwarded.name))
--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -1,5 +1,6 @@
 #include "drivers/internal/request_reader.hpp"
 
+#include "drivers/internal/arrival.hpp"
 #include "drivers/internal/read_piece.hpp"
 
 #include <boost/asio/redirect_error.hpp>
@@ -66,12 +67,14 @@
 {
     bool const is_keep_alive = source.keep_alive();
     auto message = source.release();
-    return {std::string(message.method_string()),
-            std::string(message.target()),
-            std::move(source.headers),
-            std::move(message.body()),
-            is_keep_alive,
-            {}};
+    incoming_request request{std::string(message.method_string()),
+                             std::string(message.target()),
+                             std::move(source.headers),
+                             std::move(message.body()),
+                             is_keep_alive,
+                             {}};
+    use_origin_form(request);
+    return request;
 }
 
 asio::awaitable<void> write_continue(tcp::socket& socket)
