Ignore empty lines before a request line

A caller that ends a body with one more line end, as some clients do, was answered 400 for its next request on the connection.

Cause: the HTTP library takes an empty line for a request line. RFC 9112, section 2.2, asks servers to ignore it.

The reader removes empty lines between requests; they don't count as the start of a request, so that the idle time goes on.

Evidence: platform_test, "empty lines before a request line do not deny the request", failed before with 400.

--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -102,6 +102,24 @@
             false};
 }
 
+// Removes the empty lines before a request line (RFC 9112, section 2.2).
+// Returns true if a byte of the request is left.
+bool skip_empty_lines(boost::beast::flat_buffer& buffer)
+{
+    constexpr std::string_view line_end = "\r\n";
+    auto const text = [&]
+    {
+        auto const data = buffer.data();
+        return std::string_view(static_cast<char const*>(data.data()),
+                                data.size());
+    };
+    while (text().starts_with(line_end))
+    {
+        buffer.consume(line_end.size());
+    }
+    return !line_end.starts_with(text());
+}
+
 bool expects_continue(parser const& head)
 {
     auto const expectation = head.get()[http::field::expect];
@@ -146,7 +164,7 @@
 
 asio::awaitable<read_result> request_reader::read(bool is_idle_limited)
 {
-    this->is_between_requests = this->buffer.size() == 0;
+    this->is_between_requests = !skip_empty_lines(this->buffer);
     if (this->is_between_requests)
     {
         this->guard.disarm();
@@ -154,16 +172,19 @@
         {
             this->limit_idle();
         }
+    }
+    while (this->is_between_requests)
+    {
         error_code ec;
         this->byte_count +=
             co_await receive_piece(this->socket, this->buffer, ec);
-        if (ec)
+        if (ec || this->guard.is_expired())
         {
             co_return this->guard.is_expired() ? read_failure::idle
                                                : read_failure::closed;
         }
+        this->is_between_requests = !skip_empty_lines(this->buffer);
     }
-    this->is_between_requests = false;
     auto message = co_await this->read_message();
     this->guard.disarm();
     co_return message;
