Don't deny a request by limits that may not be the operators'

A node that has started and knows no configuration yet answered 431 or 413 to a request over its own limits, although the operators may allow it. Callers don't repeat a request after these.

Cause: until the first route table arrives, the node reads with the limits of its settings, and took them for the operators'. The class is that of the denied requests: a node that knows too little judges the request instead of itself.

Until then the answer is 503 with a time to come back.

Evidence: platform_test, "a head is not denied before the operators' limits are known", failed before with 431.

--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -116,6 +116,8 @@
                               this->local_sessions))
 {
     this->peer_sessions.limits = this->peer_read_limits({});
+    this->caller_sessions.limits.is_provisional =
+        new_config.routes.source == settings::route_source::store;
     this->local_sessions.handle_locally =
         [this](incoming_request const& request)
     {
--- a/src/drivers/internal/request_reader.hpp
+++ b/src/drivers/internal/request_reader.hpp
@@ -23,6 +23,9 @@
     duration body_timeout{};
     // Shared by all listeners; null if bodies are not limited in sum.
     std::shared_ptr<admission::body_budget> bodies = {};
+    // True until the operators' limits are known. A request that exceeds these
+    // may be within theirs.
+    bool is_provisional = false;
 };
 
 // Why a request could not be read.
--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -31,6 +31,8 @@
 // held until their requests are answered, which takes a few hundred
 // milliseconds.
 constexpr duration body_retry_delay = std::chrono::milliseconds(200);
+// When to send a request again that came before the operators' limits.
+constexpr duration configuration_retry_delay = std::chrono::milliseconds(200);
 
 std::string remote_address(tcp::socket const& socket)
 {
@@ -61,9 +63,19 @@
     return !ec && !remote_ec && local.address() == remote.address();
 }
 
+refused_answer refuse_until_configured()
+{
+    auto refused = refuse_input(service_unavailable,
+                                refusal::no_upstream,
+                                "the operators' limits are not known yet");
+    refused.report.retry_after = configuration_retry_delay;
+    return refused;
+}
+
 // Creates the refusal for a request that could not be read; nothing if the
 // connection has ended.
-std::optional<refused_answer> refusal_for(read_failure failure)
+std::optional<refused_answer> refusal_for(read_failure failure,
+                                          read_limits const& limits)
 {
     switch (failure)
     {
@@ -71,10 +83,18 @@
         return refuse_input(
             bad_request, refusal::bad_request, "the request is malformed");
     case read_failure::header_too_large:
+        if (limits.is_provisional)
+        {
+            return refuse_until_configured();
+        }
         return refuse_input(header_fields_too_large,
                             refusal::too_large,
                             "the request's headers are too large");
     case read_failure::body_too_large:
+        if (limits.is_provisional)
+        {
+            return refuse_until_configured();
+        }
         return refuse_input(content_too_large,
                             refusal::too_large,
                             "the request's body is too large");
@@ -413,7 +433,7 @@
     {
         return;
     }
-    auto refused = refusal_for(failure);
+    auto refused = refusal_for(failure, this->services.limits);
     this->note_refused_input(to_string(failure),
                              refused ? refused->detail : "no answer");
     if (!refused)
