Departures: a record that is read closes an incarnation in service

A node that started while the store was away took its upstream into service on its reports and kept it there also after it had read in its record that this incarnation had departed.

Cause: the end of a read looked only at an incarnation that was waiting for the record, not at the one in service.

Now the incarnation in service leaves in the step that reads its departure, whatever had let it in; admission closes in the same step, and a newer one that waits takes its place.

--- a/spec/departures.pml
+++ b/spec/departures.pml
@@ -13,12 +13,16 @@
  * an incarnation as ready only after two reports sent at least a second apart.
  * Delayed reports arrive together, so two such reports prove that the
  * incarnation is still running. The model assumes this (take_live_pair).
+ * LATE_PROOF drops the assumption: two delayed reports arrive a second apart and
+ * count as proof. Then the node may send requests to an incarnation that has
+ * departed, but only until it has read its record (AFTER_READ).
  *
  * Steps have the names of the functions in src/departures. Mutations that must
  * yield a counterexample: NO_RECORD, NO_LOOK, NO_BORN, NO_WAIT, NO_START_TIME
  * (a departure without a start time closes only an incarnation that the node
  * knows), ACK_ALL (the end of a write acknowledges departures that arrived after
- * its beginning). REACH_ANEW and REACH_WITHOUT_STORE assert that an incarnation is never opened for requests
+ * its beginning), KEEP_OPEN with LATE_PROOF and AFTER_READ (reading the record
+ * does not close an incarnation that is open). REACH_ANEW and REACH_WITHOUT_STORE assert that an incarnation is never opened for requests
  * after an acknowledged departure or without the store; both assertions must
  * fail.
  */
@@ -55,7 +59,11 @@
 
 inline check()
 {
+#ifdef AFTER_READ
+    assert(!has_looked || open == 0 || open > acknowledged);
+#else
     assert(open == 0 || open > acknowledged);
+#endif
 #ifdef REACH_ANEW
     assert(!(open == 2 && acknowledged == 1));
 #endif
@@ -116,6 +124,18 @@
     }
 }
 
+/* Two reports of incarnation b that are both late arrive a second apart. */
+inline take_late_pair(b)
+{
+    atomic {
+        born >= b && !has_looked && !HAS_LEFT(b) && !IS_OUTDATED(b) ->
+            present = b;
+            open = b;
+            waiting = 0;
+            check()
+    }
+}
+
 /* The newest incarnation reports that it is leaving. */
 inline take_leaving()
 {
@@ -139,6 +159,9 @@
         is_store_up && !has_looked ->
             has_looked = true;
             left = (recorded > left -> recorded : left);
+#ifndef KEEP_OPEN
+            open = (open > left -> open : 0);
+#endif
             if
             :: waiting != 0 && waiting > left -> open = waiting
             :: else -> skip
@@ -216,6 +239,10 @@
     :: take_ready(1)
     :: born == 2 -> take_ready(2)
     :: take_live_pair()
+#ifdef LATE_PROOF
+    :: take_late_pair(1)
+    :: take_late_pair(2)
+#endif
     :: !is_leaving -> is_leaving = true
     :: take_leaving()
 #ifdef NO_WAIT
--- a/src/departures/departures.hpp
+++ b/src/departures/departures.hpp
@@ -77,8 +77,8 @@
 {
     // Set if the upstream is ready for work.
     std::optional<upstream_announcement> opened;
-    // True if the newest incarnation, or the one in service, has begun to
-    // leave.
+    // True if the newest incarnation, or the one in service, has begun to leave
+    // or turns out to have departed.
     bool is_leaving = false;
 };
 
--- a/src/departures/internal/departures.cpp
+++ b/src/departures/internal/departures.cpp
@@ -327,6 +327,25 @@
     }
 }
 
+// Ends the service of an incarnation whose departure is recorded. Returns true
+// if there was one.
+bool close_departed(state& departures, step& current)
+{
+    if (!departures.in_service ||
+        !has_departed(departures.departed, *departures.in_service))
+    {
+        return false;
+    }
+    upstream_incarnation const incarnation =
+        *std::exchange(departures.in_service, std::nullopt);
+    if (may_be_of(departures.newest, incarnation))
+    {
+        departures.is_newest_leaving = true;
+    }
+    record(current, "", "departures", "closed", describe(incarnation));
+    return true;
+}
+
 outcome
 handle_record_read(state& departures, store_result const& result, step& current)
 {
@@ -343,7 +362,9 @@
                  entry == nullptr ? std::vector<upstream_incarnation>()
                                   : decode_record(entry->value),
                  current);
+    bool const is_closed = close_departed(departures, current);
     outcome changes = open_candidate(departures, current);
+    changes.is_leaving = is_closed;
     begin_due_call(departures, current);
     return changes;
 }
--- a/src/departures/tests/departures_test.cpp
+++ b/src/departures/tests/departures_test.cpp
@@ -324,3 +324,41 @@
     node.reply(store_written{10});
     CHECK(node.count_acknowledged() == 2);
 }
+
+// Guards against a record that is read too late to matter: whatever has let an
+// incarnation into service before, a recorded departure ends that.
+TEST_CASE("a recorded departure closes an incarnation that is in service")
+{
+    process node;
+    node.reply(store_unavailable{false});
+    node.report(make_incarnation("i-1", 5, 1));
+    node.now += 1min;
+    REQUIRE(node.report(make_incarnation("i-1", 5, 2)).opened);
+    SECTION("it leaves in the step in which the record is read")
+    {
+        node.advance(1s);
+        CHECK(node.reply(store_entry{"k", "5 i-1\n", 7}).is_leaving);
+        CHECK_FALSE(node.report(make_incarnation("i-1", 5, 3)).opened);
+        CHECK_FALSE(
+            node.report(make_incarnation("i-1", 0, 0), upstream_phase::gone)
+                .is_leaving);
+        CHECK(node.has_acknowledged());
+        CHECK(node.report(make_incarnation("i-1", 9, 1)).opened);
+    }
+    SECTION("a newer one that waits for the record takes its place")
+    {
+        node.report(make_incarnation("i-2", 9, 1));
+        node.advance(1s);
+        auto const after_read = node.reply(store_entry{"k", "5 i-1\n", 7});
+        CHECK(after_read.is_leaving);
+        REQUIRE(after_read.opened);
+        CHECK(after_read.opened->instance == "i-2");
+    }
+    SECTION("the departure of an earlier start leaves it in service")
+    {
+        node.advance(1s);
+        CHECK_FALSE(
+            node.reply(store_entry{"k", "4 i-1\n9 i-0\n", 7}).is_leaving);
+        CHECK(node.report(make_incarnation("i-1", 5, 3)).opened);
+    }
+}
