Drop idle connections to a peer once one of them proved silent

Callers saw requests time out one after the other when open connections to a peer, an upstream or the store went silent without a reset: each attempt took the next idle connection of the pool, which was as silent as the one before.

Cause: the pool learnt of a silent connection only through the request that was sent on it, and kept the others, which look usable as long as the kernel has not given them up.

A call now reports whether its connection was silent: nothing was received before the deadline, or the kernel's time-out ended it. The idle connections to that address are then discarded, so that the next attempt opens a new one. After a deadline, connections that have carried a response since the request was sent are kept, as the other side may only be slow. The pool is shared by peers, upstream and store. What is retried is unchanged.

Evidence: http_client_test, "idle connections are dropped after one of them proved silent" and "... after the kernel gave one up" failed with the discard left out (the next call got no answer; one connection was left), and pass with it.

--- a/src/drivers/internal/connection_pool.cpp
+++ b/src/drivers/internal/connection_pool.cpp
@@ -104,6 +104,28 @@
     this->publish_connection_count();
 }
 
+void connection_pool::discard_idle(std::string const& address,
+                                   std::chrono::steady_clock::time_point cutoff)
+{
+    auto& idle = this->group_for(address).idle;
+    // Ordered by the time at which they became idle.
+    auto const first_kept = std::ranges::find_if(
+        idle,
+        [&](connection_id id)
+        { return this->connections.at(id).idle_since >= cutoff; });
+    std::vector<connection_id> const silent(idle.begin(), first_kept);
+    idle.erase(idle.begin(), first_kept);
+    for (auto const id : silent)
+    {
+        this->discard(id);
+    }
+    if (!silent.empty())
+    {
+        this->driver_metrics.add(this->metric("silent_connections_total"),
+                                 static_cast<double>(silent.size()));
+    }
+}
+
 void connection_pool::warm(std::string const& address,
                            std::uint32_t count,
                            std::uint32_t limit)
--- a/src/drivers/internal/connection_pool.hpp
+++ b/src/drivers/internal/connection_pool.hpp
@@ -92,6 +92,12 @@
     // not be given back.
     bool note_failed_request(connection_id id, std::string_view request_id);
     void discard(connection_id id);
+    // Discards the idle connections to the address that were last heard from
+    // before `cutoff`, so that the next request opens a new one. For use after
+    // a connection to the address has proved silent: what silences one on the
+    // way usually silences all that were open at that time.
+    void discard_idle(std::string const& address,
+                      std::chrono::steady_clock::time_point cutoff);
 
     // Keeps at least `count` connections to the address open, ahead of use, and
     // sets their maximum number to `limit`.
--- a/src/drivers/internal/http_client.cpp
+++ b/src/drivers/internal/http_client.cpp
@@ -80,6 +80,16 @@
     return attempt_failure::malformed_answer;
 }
 
+// Returns true if the connection has proved silent: `ec` is the error that
+// interrupted reading a response.
+bool is_silent(pooled_connection const& connection,
+               error_code ec,
+               bool has_received)
+{
+    return connection.guard.is_expired() ? !has_received
+                                         : ec == asio::error::timed_out;
+}
+
 // Returns the failure of a call; cancellation and timeout take precedence over
 // `otherwise`.
 call_failure classify_failure(call_control const& control,
@@ -255,12 +265,22 @@
                                false};
     }
     auto& connection = this->pool.at(id);
+    auto const sent_at = clock::now();
     connection.guard.arm(time_left);
     control.socket = &connection.socket;
     bool is_reusable = false;
     auto result =
         co_await this->exchange(connection, request, control, is_reusable);
     control.socket = nullptr;
+    auto const* const failure = std::get_if<call_failure>(&result);
+    if (failure != nullptr && failure->is_silent)
+    {
+        // A worker that is merely slow also misses the deadline; connections
+        // that have carried a response since then are kept in that case.
+        this->pool.discard_idle(connection.address,
+                                connection.guard.is_expired() ? sent_at
+                                                              : clock::now());
+    }
     auto const* const full_answer = std::get_if<answer>(&result);
     auto const& request_id = request.expected_answer_header.value;
     if (is_reusable && !request_id.empty() && full_answer != nullptr &&
@@ -303,13 +323,21 @@
         co_await abort_write(connection.socket, *sent);
     }
     is_reusable = is_reusable && is_write_done && !sent->ec;
-    auto const* const failure = std::get_if<call_failure>(&result);
+    auto* const failure = std::get_if<call_failure>(&result);
+    if (failure == nullptr)
+    {
+        co_return result;
+    }
+    // The kernel reports its time-out once, to either direction.
+    failure->is_silent =
+        failure->is_silent || sent->ec == asio::error::timed_out;
     bool const was_never_written =
-        failure != nullptr && is_write_done && sent->ec && sent->written == 0;
+        is_write_done && sent->ec && sent->written == 0;
     if (was_never_written &&
         failure->failure == attempt_failure::closed_after_write)
     {
-        co_return call_failure{attempt_failure::closed_before_write, false};
+        failure->failure = attempt_failure::closed_before_write;
+        failure->is_written = false;
     }
     co_return result;
 }
@@ -327,6 +355,12 @@
         bool is_keep_alive = false;
         auto result = co_await this->read_next_answer(
             connection, is_head, control, is_keep_alive);
+        if (auto* const failure = std::get_if<call_failure>(&result);
+            failure != nullptr && has_skipped_late_answer &&
+            connection.guard.is_expired())
+        {
+            failure->is_silent = false;
+        }
         auto const* const full_answer = std::get_if<answer>(&result);
         auto const matched = full_answer == nullptr
                                  ? answer_match::matching
@@ -406,8 +440,11 @@
     }
     if (ec)
     {
-        co_return classify_failure(
+        auto failure = classify_failure(
             control, connection, classify(ec, has_begun), true);
+        failure.is_silent =
+            is_silent(connection, ec, has_begun || interim_answers > 0);
+        co_return failure;
     }
     is_keep_alive = source->keep_alive();
     co_return to_answer(*source, is_head);
--- a/src/drivers/internal/http_client.hpp
+++ b/src/drivers/internal/http_client.hpp
@@ -18,6 +18,9 @@
 {
     attempt_failure failure = attempt_failure::timed_out;
     bool is_written = true;
+    // True if the connection showed no sign of life: nothing was received
+    // before the deadline, or the kernel's time-out ended the connection.
+    bool is_silent = false;
 };
 
 using call_result = std::variant<answer, call_failure>;
--- a/src/drivers/tests/http_client_test.cpp
+++ b/src/drivers/tests/http_client_test.cpp
@@ -1,6 +1,7 @@
 #include "client_fixture.hpp"
 
 #include <atomic>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -8,6 +9,56 @@
 using namespace plantaintally;
 using namespace plantaintally::drivers;
 
+namespace
+{
+
+// A server that answers the first request on each of its first connections
+// once `connections` of them have one, and then takes requests on these
+// without answering. Later connections are answered.
+class falling_silent
+{
+public:
+    explicit falling_silent(std::size_t connections) : silent(connections) {}
+
+    void operator()(test_connection& connection, std::size_t number)
+    {
+        if (number >= this->silent)
+        {
+            echo(connection, number);
+            return;
+        }
+        auto const first = connection.read_message();
+        ++this->waiting;
+        while (this->waiting < this->silent)
+        {
+            std::this_thread::yield();
+        }
+        connection.write(ok_answer(body_of(first)));
+        connection.read_all();
+    }
+
+private:
+    std::size_t silent;
+    std::atomic<std::size_t> waiting = 0;
+};
+
+// Opens this many connections, which are idle afterwards.
+void open_idle(client_fixture& fixture,
+               std::string const& address,
+               std::size_t count)
+{
+    std::vector<call_result> results;
+    for (std::size_t number = 0; number < count; ++number)
+    {
+        fixture.start(results, address, "x");
+    }
+    fixture.run_until([&] { return results.size() == count; });
+    REQUIRE(results.size() == count);
+    REQUIRE(fixture.pool.connection_count() == count);
+}
+
+} // namespace
+
 TEST_CASE("a connection is reused after a complete response")
 {
     scripted_server server(echo);
@@ -176,3 +227,95 @@
     fixture.pool.close_idle();
     CHECK(fixture.pool.connection_count() == 0);
 }
+
+TEST_CASE("idle connections are dropped after one of them proved silent")
+{
+    falling_silent script(2);
+    scripted_server server(std::ref(script));
+    client_fixture fixture;
+    open_idle(fixture, server.address(), 2);
+    auto const failed =
+        failure_in(fixture.call(server.address(), "lost", short_timeout));
+    CHECK(failed.failure == attempt_failure::timed_out);
+    CHECK(failed.is_silent);
+    CHECK(fixture.pool.connection_count() == 0);
+    CHECK(body_text(fixture.call(
+              server.address(), "next", std::chrono::seconds(1))) == "next");
+    fixture.pool.close_idle();
+}
+
+TEST_CASE("a connection that was heard from during a slow request is kept")
+{
+    std::atomic<bool> may_answer = false;
+    scripted_server server(
+        [&](test_connection& connection, std::size_t number)
+        {
+            for (auto request = connection.read_message(); !request.empty();
+                 request = connection.read_message())
+            {
+                while (body_of(request) == "slow" && !may_answer)
+                {
+                    std::this_thread::yield();
+                }
+                connection.write(ok_answer(std::to_string(number)));
+            }
+        });
+    client_fixture fixture;
+    std::vector<call_result> results;
+    fixture.start(results, server.address(), "slow", short_timeout);
+    fixture.run_until([&] { return server.connection_count() == 1; });
+    CHECK(body_text(fixture.call(server.address())) == "1");
+    fixture.run_until([&] { return !results.empty(); });
+    REQUIRE(results.size() == 1);
+    CHECK(failure_in(results.front()).is_silent);
+    CHECK(body_text(fixture.call(server.address())) == "1");
+    may_answer = true;
+    fixture.pool.close_idle();
+}
+
+TEST_CASE("idle connections are dropped after the kernel gave one up")
+{
+    std::atomic<bool> is_done = false;
+    std::atomic<std::size_t> waiting = 0;
+    // Reads no second request, so that the kernel's time-out for data that
+    // can't be delivered ends the connection.
+    scripted_server server(
+        [&](test_connection& connection, std::size_t)
+        {
+            auto const first = connection.read_message();
+            ++waiting;
+            while (waiting < 2)
+            {
+                std::this_thread::yield();
+            }
+            connection.write(ok_answer(body_of(first)));
+            while (!is_done)
+            {
+                std::this_thread::sleep_for(std::chrono::milliseconds(10));
+            }
+        });
+    client_fixture fixture;
+    open_idle(fixture, server.address(), 2);
+    std::string const body(64U << 20U, 'x');
+    auto const failed = failure_in(fixture.call(server.address(), body));
+    CHECK(failed.failure == attempt_failure::closed_after_write);
+    CHECK(failed.is_silent);
+    CHECK(fixture.pool.connection_count() == 0);
+    is_done = true;
+}
+
+TEST_CASE("a connection that the other side closes is not silent")
+{
+    scripted_server server(
+        [&](test_connection& connection, std::size_t)
+        {
+            auto const request = connection.read_message();
+            connection.write(ok_answer(body_of(request)));
+            connection.read_message();
+        });
+    client_fixture fixture;
+    open_idle(fixture, server.address(), 1);
+    auto const failed = failure_in(fixture.call(server.address(), "x"));
+    CHECK(failed.failure == attempt_failure::closed_after_write);
+    CHECK(!failed.is_silent);
+}
