Ask members that are believed gone whether they are alive

Callers were refused because a node held all members of a service to be gone though they were alive and other nodes used them, after links between nodes had gone silent for a while.

Cause: a member learns that it was declared gone from the node that did so, or from the answer to one of its own messages. If each side holds the other to be gone, neither sends any, except for an attempt at one random gone member every 10 s. A refutation goes to the member's watchers and by gossip, and a node that missed it on a silent link kept the older record until a comparison with a random peer, every 10 s too.

A node now sends a member that it holds to be suspected or gone the record that it holds, about once a second for a minute, to 64 members at most. The member refutes it, and sends its current record to any sender of an older record that accuses it. So the link between the two is enough; other nodes and the store are not needed. Members that drained before they left are not asked. The simulated network can lose the messages of single links.

Known limits: a link that could not be connected for long pauses up to 2 s before it tries again, which adds to the bound; a member that returns gets one question from each node of the fleet.

--- a/src/membership/internal/failure_detector.cpp
+++ b/src/membership/internal/failure_detector.cpp
@@ -5,6 +5,7 @@
 #include "membership/internal/view.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace plantaintally::membership
 {
@@ -17,6 +18,9 @@
 // are jittered.
 constexpr double digest_window = 1.25;
 
+// Maximum number of doubted members asked at a time.
+constexpr std::size_t max_asked_members = 64;
+
 duration silence_timeout(state const& membership)
 {
     return membership.startup_options.heartbeat_interval *
@@ -172,4 +176,31 @@
     }
 }
 
+void ask_doubted_members(state& membership, step& current)
+{
+    std::erase_if(membership.doubted,
+                  [&](auto const& entry)
+                  { return entry.second <= current.now.monotonic; });
+    auto const count = membership.doubted.size();
+    if (count == 0)
+    {
+        return;
+    }
+    auto next = std::next(
+        membership.doubted.begin(),
+        static_cast<std::ptrdiff_t>(draw_below(current.random, count)));
+    for (std::size_t sent = 0; sent < std::min(count, max_asked_members);
+         ++sent)
+    {
+        if (auto const* const held = find_record(membership, next->first))
+        {
+            send(next->first, gossip{{*held}, false}, current);
+        }
+        if (++next == membership.doubted.end())
+        {
+            next = membership.doubted.begin();
+        }
+    }
+}
+
 } // namespace plantaintally::membership
--- a/src/membership/internal/failure_detector.hpp
+++ b/src/membership/internal/failure_detector.hpp
@@ -33,4 +33,9 @@
 // since this node is then isolated itself.
 void check_watched_peers(state& membership, step& current);
 
+// Sends some of the members that are suspected, or were declared gone a short
+// time ago by others, their records. A member that is alive answers this node
+// with a newer one, also if all other messages about it are lost.
+void ask_doubted_members(state& membership, step& current);
+
 } // namespace plantaintally::membership
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -31,6 +31,8 @@
 constexpr duration fetch_interval = std::chrono::milliseconds(500);
 // Interval between attempts to reach a random gone member.
 constexpr duration reconnect_interval = std::chrono::seconds(10);
+// Interval between questions to members that others doubt.
+constexpr duration doubt_interval = std::chrono::seconds(1);
 // Shortest interval between repairs of the own service's records.
 constexpr duration service_repair_interval = std::chrono::seconds(1);
 // Number of random peers informed at once of a change of this node.
@@ -105,15 +107,38 @@
     publish_self(membership, announcement_fanout, current);
 }
 
-void handle_records(state& membership, gossip const& received, step& current)
+// Answers a record of this node that another node holds. A sender that believes
+// this node suspected or gone gets the current record from here, as it may have
+// missed the refutation.
+void answer_claim(state& membership,
+                  node_id const& sender,
+                  member_record const& claim,
+                  step& current)
+{
+    refute(membership, claim, current);
+    bool const is_accusation = claim.status == member_status::suspected ||
+                               claim.status == member_status::gone;
+    if (is_accusation && membership.self_record && !membership.is_leaving &&
+        is_newer(*membership.self_record, claim))
+    {
+        send(sender.address, gossip{{*membership.self_record}, false}, current);
+    }
+}
+
+void handle_records(state& membership,
+                    node_id const& sender,
+                    gossip const& received,
+                    step& current)
 {
     for (member_record const& record : received.news)
     {
-        if (record.node.address == membership.startup_options.self.address &&
-            record.node.incarnation >=
-                membership.startup_options.self.incarnation)
+        bool const is_self =
+            record.node.address == membership.startup_options.self.address;
+        if (is_self && (membership.self_record ||
+                        record.node.incarnation >=
+                            membership.startup_options.self.incarnation))
         {
-            refute(membership, record, current);
+            answer_claim(membership, sender, record, current);
             continue;
         }
         if (received.is_repair)
@@ -214,8 +239,10 @@
 
     void operator()(heartbeat const& received) const
     {
-        handle_records(
-            this->membership, gossip{received.news, false}, this->current);
+        handle_records(this->membership,
+                       this->sender,
+                       gossip{received.news, false},
+                       this->current);
         update_outside_watch(
             this->membership, this->sender, received, this->current);
         note_digest(
@@ -227,7 +254,7 @@
 
     void operator()(gossip const& received) const
     {
-        handle_records(this->membership, received, this->current);
+        handle_records(this->membership, this->sender, received, this->current);
     }
 
     void operator()(view_digest const& received) const
@@ -320,6 +347,7 @@
         jittered_deadline(watcher_selection_interval, current);
     membership.next_fetch = jittered_deadline(fetch_interval, current);
     membership.next_reconnect = jittered_deadline(reconnect_interval, current);
+    membership.next_doubt_round = jittered_deadline(doubt_interval, current);
     membership.contacts.next_read =
         now + std::chrono::duration_cast<duration>(
                   first_read_window * draw_fraction(current.random));
@@ -469,6 +497,10 @@
                reconnect_interval,
                current,
                [&] { try_reconnect(membership, current); });
+    run_if_due(membership.next_doubt_round,
+               doubt_interval,
+               current,
+               [&] { ask_doubted_members(membership, current); });
     expire_tombstones(membership, current.now.monotonic);
     expire_service_lookups(membership, current.now.monotonic);
     refresh_contacts(membership, current);
@@ -493,6 +525,10 @@
     {
         next = std::min(next, membership.next_fetch);
     }
+    if (!membership.doubted.empty())
+    {
+        next = std::min(next, membership.next_doubt_round);
+    }
     return next;
 }
 
--- a/src/membership/internal/view.cpp
+++ b/src/membership/internal/view.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+// How long a member that others suspect or have declared gone is asked whether
+// it is alive.
+constexpr duration doubt_lifetime = std::chrono::seconds(60);
+
 auto version_key(member_record const& record)
 {
     return std::make_tuple(record.node.incarnation,
@@ -80,6 +84,34 @@
     invalidate(membership, record.service);
 }
 
+// Returns true if `gone` was published by a member that left: a member drains
+// before it leaves, and a node that declares another one gone has suspected it
+// before.
+bool is_own_departure(member_record const& held, member_record const& gone)
+{
+    return held.status == member_status::draining &&
+           gone.node.incarnation == held.node.incarnation &&
+           gone.status_version == held.status_version + 1;
+}
+
+// Updates whether the member is asked if it is alive, before `record` replaces
+// its current record.
+void update_doubt(state& membership, member_record const& record, instant now)
+{
+    std::string const& address = record.node.address;
+    member_record const* const held = find_record(membership, address);
+    bool const is_accused =
+        record.status == member_status::suspected ||
+        (record.status == member_status::gone && held != nullptr &&
+         !is_own_departure(*held, record));
+    if (!is_accused || address == membership.startup_options.self.address)
+    {
+        membership.doubted.erase(address);
+        return;
+    }
+    membership.doubted[address] = now + doubt_lifetime;
+}
+
 std::uint64_t hash_record(member_record const& record)
 {
     std::uint64_t hash = stable_hash(record.node.address);
@@ -127,6 +159,7 @@
     {
         return false;
     }
+    update_doubt(membership, record, now);
     if (record.status == member_status::gone)
     {
         remove_live(membership, record.node.address);
--- a/src/membership/state.hpp
+++ b/src/membership/state.hpp
@@ -133,6 +133,9 @@
     std::map<std::string, tombstone, std::less<>> tombstones;
     // Hash of the records of each service; zero if it must be recomputed.
     std::map<std::string, std::uint64_t, std::less<>> service_hashes;
+    // Members that others suspect or have declared gone, though they may be
+    // alive, and until when this node asks them.
+    std::map<std::string, instant, std::less<>> doubted;
     // This node's own record; empty until its first announcement.
     std::optional<member_record> self_record;
 
@@ -170,6 +173,7 @@
     instant next_watcher_selection{};
     instant next_fetch{};
     instant next_reconnect{};
+    instant next_doubt_round{};
     std::optional<instant> next_service_repair;
 };
 
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -4,6 +4,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -20,6 +22,9 @@
 constexpr duration drain_target = 3s;
 // Documented target time for all nodes to record a crashed node as gone.
 constexpr duration crash_target = 8s;
+// Documented target time for all nodes to list a live member that was believed
+// gone, once they can reach it.
+constexpr duration return_target = 2s;
 
 std::string address_of(int index)
 {
@@ -86,6 +91,34 @@
     return false;
 }
 
+// Silences the links between a node and all others, in the given directions.
+void silence(fleet& all,
+             std::string const& node,
+             bool is_outgoing,
+             bool is_incoming)
+{
+    for (std::string const& other : all.live_addresses())
+    {
+        if (is_outgoing)
+        {
+            all.net.silent_links.insert({node, other});
+        }
+        if (is_incoming)
+        {
+            all.net.silent_links.insert({other, node});
+        }
+    }
+}
+
+bool has_refuted(fleet& all, std::string const& address)
+{
+    auto const& entries = all.at(address).entries;
+    return std::any_of(entries.begin(),
+                       entries.end(),
+                       [](timeline_entry const& entry)
+                       { return entry.kind == "refuted"; });
+}
+
 } // namespace
 
 TEST_CASE("nodes that start with one contact discover all members")
@@ -451,3 +484,110 @@
     CHECK(later.find(first + "\n") == std::string::npos);
     CHECK(std::count(later.begin(), later.end(), '\n') == 16);
 }
+
+TEST_CASE("all members are back soon after many links were silent")
+{
+    auto const seed = GENERATE(21U, 22U, 23U, 24U, 25U);
+    auto const span = GENERATE(duration(5s), duration(20s));
+    fleet all(seed);
+    start_nodes(all, 24);
+    REQUIRE(all.run_until([&] { return is_complete(all, 24); }, 20s));
+    all.run_for(5s);
+    all.store.is_down = true;
+    std::mt19937 random(seed);
+    for (std::string const& from : all.live_addresses())
+    {
+        for (std::string const& to : all.live_addresses())
+        {
+            if (from < to && random() % 10 < 7)
+            {
+                all.net.silent_links.insert({from, to});
+                all.net.silent_links.insert({to, from});
+            }
+        }
+    }
+    all.run_for(span);
+    all.net.silent_links.clear();
+    CHECK(all.run_until(
+        [&]
+        {
+            return is_complete(all, 24) &&
+                   !is_anyone_seen_as(all, member_status::suspected);
+        },
+        return_target));
+}
+
+TEST_CASE("a member that never heard of its removal is back soon")
+{
+    auto const seed = GENERATE(31U, 32U, 33U);
+    bool const is_incoming_silent = GENERATE(true, false);
+    fleet all(seed);
+    start_nodes(all, 12);
+    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 20s));
+    all.run_for(5s);
+    all.store.is_down = true;
+    std::string const accused = address_of(6);
+    silence(all, accused, true, is_incoming_silent);
+    REQUIRE(all.run_until(
+        [&] { return is_seen_by_all(all, accused, member_status::gone); },
+        crash_target));
+    all.run_for(3s);
+    CHECK(has_refuted(all, accused) != is_incoming_silent);
+    all.net.silent_links.clear();
+    CHECK(all.run_until(
+        [&]
+        {
+            return is_complete(all, 12) &&
+                   !is_anyone_seen_as(all, member_status::suspected);
+        },
+        return_target));
+}
+
+TEST_CASE("a node whose other links are silent brings a member back itself")
+{
+    auto const seed = GENERATE(range(41U, 49U));
+    fleet all(seed);
+    start_nodes(all, 12);
+    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 20s));
+    all.run_for(5s);
+    all.store.is_down = true;
+    std::string const accused = address_of(6);
+    // Of another service, so that neither watches the other in its cell.
+    std::string const viewer = address_of(12);
+    silence(all, accused, true, true);
+    REQUIRE(all.run_until(
+        [&] { return is_seen_by_all(all, accused, member_status::gone); },
+        crash_target));
+    silence(all, viewer, true, true);
+    all.net.silent_links.erase({viewer, accused});
+    all.net.silent_links.erase({accused, viewer});
+    CHECK(all.run_until(
+        [&] { return all.status(viewer, accused) == member_status::alive; },
+        return_target));
+}
+
+TEST_CASE("a member that left is asked about by nobody")
+{
+    fleet all(51);
+    start_nodes(all, 12);
+    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 10s));
+    std::string const left = address_of(6);
+    all.run_step(left,
+                 [](auto& node, step& current)
+                 { membership::announce_draining(node.membership, current); });
+    all.run_for(3s);
+    all.run_step(left,
+                 [](auto& node, step& current)
+                 { membership::announce_leaving(node.membership, current); });
+    all.crash(left);
+    REQUIRE(all.run_until([&] { return is_complete(all, 11); }, drain_target));
+    std::size_t records = 0;
+    all.on_send = [&](std::string const&, send_control const& sent)
+    {
+        auto const* news = std::get_if<membership::gossip>(
+            std::get_if<membership::message>(&sent.message));
+        records += sent.address == left && news != nullptr ? 1 : 0;
+    };
+    all.run_for(60s);
+    CHECK(records == 0);
+}
--- a/src/test_fleet/fleet.cpp
+++ b/src/test_fleet/fleet.cpp
@@ -256,7 +256,7 @@
     node_id const sender = from.membership.startup_options.self;
     bool const is_lost =
         this->net.loss > 0 && draw_fraction(this->random) < this->net.loss;
-    if (is_lost || this->is_partitioned(sender.address, sent.address))
+    if (is_lost || this->is_cut(sender.address, sent.address))
     {
         return;
     }
@@ -332,14 +332,15 @@
                    });
 }
 
-bool fleet::is_partitioned(std::string const& from, std::string const& to) const
+bool fleet::is_cut(std::string const& from, std::string const& to) const
 {
     auto const group_of = [this](std::string const& address)
     {
         auto const found = this->net.groups.find(address);
         return found == this->net.groups.end() ? 0 : found->second;
     };
-    return group_of(from) != group_of(to);
+    return group_of(from) != group_of(to) ||
+           this->net.silent_links.contains({from, to});
 }
 
 } // namespace plantaintally::test_fleet
--- a/src/test_fleet/fleet.hpp
+++ b/src/test_fleet/fleet.hpp
@@ -15,6 +15,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace plantaintally::test_fleet
@@ -30,6 +31,8 @@
     // Partitions by node address: nodes in different groups can't reach each
     // other. A node that is not listed is in group zero.
     std::map<std::string, int> groups;
+    // Links, by sender and receiver address, that lose every message.
+    std::set<std::pair<std::string, std::string>> silent_links;
 };
 
 // A simulated node: the states of its reducers and the sources of randomness,
@@ -138,7 +141,7 @@
     void deliver(fleet_node const& from, send_control const& sent);
     void call(fleet_node const& from, call_store const& requested);
     void set_timer(fleet_node& node);
-    bool is_partitioned(std::string const& from, std::string const& to) const;
+    bool is_cut(std::string const& from, std::string const& to) const;
 
     instant clock = instant(std::chrono::hours(1));
     random_source random;
