Give the writing side of each caller's connection one owner

Cause: the reading side of a session wrote `100 Continue` itself, while the writing side may be in the middle of an answer on the same socket.

Change: a connection gives its writing side away once, to the writer that only session::write_answers has; the reader can't write and only states that a `100 Continue` is due. It is written after the answers to all earlier requests, and left out if the body is complete by then. The body timeout starts with it, or with the first bytes of a body that does not wait for it.

Related paths, by reading: peers, the local API, metrics and readiness use the same sessions.

--- a/src/drivers/internal/read_piece.hpp
+++ b/src/drivers/internal/read_piece.hpp
@@ -44,8 +44,9 @@
 
 // Receives the bytes that are available, or waits for the first ones, and
 // returns their number.
-inline asio::awaitable<std::size_t> receive_piece(
-    tcp::socket& socket, boost::beast::flat_buffer& buffer, error_code& ec)
+template <class Stream>
+asio::awaitable<std::size_t>
+receive_piece(Stream& stream, boost::beast::flat_buffer& buffer, error_code& ec)
 {
     auto const free_bytes = buffer.capacity() - buffer.size();
     auto const room = std::min(std::max(min_piece_bytes, free_bytes),
@@ -55,7 +56,7 @@
         ec = boost::beast::http::error::buffer_overflow;
         co_return 0;
     }
-    auto const count = co_await socket.async_read_some(
+    auto const count = co_await stream.async_read_some(
         buffer.prepare(room), asio::redirect_error(asio::use_awaitable, ec));
     buffer.commit(count);
     co_return count;
@@ -65,8 +66,8 @@
 // composed read operations of the library end only with a whole message, and a
 // guard can't cancel them while each piece is ready when it is asked for. So
 // the deadline is checked before each piece.
-template <class Parser>
-asio::awaitable<std::size_t> read_piece(tcp::socket& socket,
+template <class Stream, class Parser>
+asio::awaitable<std::size_t> read_piece(Stream& stream,
                                         deadline_guard const& guard,
                                         boost::beast::flat_buffer& buffer,
                                         Parser& source,
@@ -77,7 +78,7 @@
         ec = asio::error::timed_out;
         co_return 0;
     }
-    auto const count = co_await receive_piece(socket, buffer, ec);
+    auto const count = co_await receive_piece(stream, buffer, ec);
     if (!ec)
     {
         ec = parse_buffered(buffer, source);
--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -2,8 +2,7 @@
 
 #include "drivers/internal/read_piece.hpp"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
@@ -63,14 +62,6 @@
     return request;
 }
 
-asio::awaitable<void> write_continue(tcp::socket& socket)
-{
-    http::response<http::empty_body> const interim(http::status::continue_, 11);
-    error_code ignored;
-    co_await http::async_write(
-        socket, interim, asio::redirect_error(asio::use_awaitable, ignored));
-}
-
 // Bytes that the whole body will have, or those received if that is unknown.
 std::uint64_t known_body_bytes(parser const& source)
 {
@@ -128,11 +119,12 @@
     return "malformed";
 }
 
-request_reader::request_reader(tcp::socket& connection,
-                               deadline_guard& socket_guard,
-                               read_limits const& bounds)
-    : socket(connection), guard(socket_guard), limits(bounds),
-      buffer(bounds.max_header_bytes + body_buffer_bytes)
+request_reader::request_reader(accepted_connection& source,
+                               read_limits const& bounds,
+                               std::function<void()> on_continue_due)
+    : connection(source), guard(source.read_guard()), limits(bounds),
+      buffer(bounds.max_header_bytes + body_buffer_bytes),
+      report_continue_due(std::move(on_continue_due))
 {
 }
 
@@ -148,7 +140,7 @@
         }
         error_code ec;
         this->byte_count +=
-            co_await receive_piece(this->socket, this->buffer, ec);
+            co_await receive_piece(this->connection, this->buffer, ec);
         if (ec)
         {
             co_return this->guard.is_expired() ? read_failure::idle
@@ -169,6 +161,43 @@
     }
 }
 
+void request_reader::stop()
+{
+    this->is_stopped = true;
+    this->connection.cancel();
+}
+
+bool request_reader::take_due_continue()
+{
+    return std::exchange(this->is_continue_due, false);
+}
+
+void request_reader::handle_continue_written()
+{
+    // What was written may belong to the request before this one.
+    if (!this->is_continue_due)
+    {
+        this->limit_body();
+    }
+}
+
+void request_reader::limit_body()
+{
+    if (std::exchange(this->is_body_time_held, false))
+    {
+        this->guard.arm(this->limits.body_timeout);
+    }
+}
+
+bool request_reader::can_read(error_code& ec) const
+{
+    if (this->is_stopped)
+    {
+        ec = asio::error::operation_aborted;
+    }
+    return !ec;
+}
+
 asio::awaitable<read_result> request_reader::read_message()
 {
     // The limit may have grown since the connection was opened.
@@ -181,10 +210,10 @@
     source.eager(true);
     auto ec = parse_buffered(this->buffer, source);
     this->guard.arm(this->limits.header_timeout);
-    while (!ec && !source.is_header_done())
+    while (!source.is_header_done() && this->can_read(ec))
     {
         this->byte_count += co_await read_piece(
-            this->socket, this->guard, this->buffer, source, ec);
+            this->connection, this->guard, this->buffer, source, ec);
     }
     if (ec && !source.is_header_done())
     {
@@ -200,13 +229,21 @@
         co_return read_failure::no_room_for_body;
     }
     this->guard.arm(this->limits.body_timeout);
-    if (!ec && expects_continue(source))
-    {
-        co_await write_continue(this->socket);
-    }
     if (!ec && !source.is_done())
     {
+        if (expects_continue(source))
+        {
+            this->is_continue_due = true;
+            this->is_body_time_held = source.get().body().empty();
+            this->report_continue_due();
+        }
+        if (this->is_body_time_held)
+        {
+            this->guard.disarm();
+        }
         ec = co_await this->read_body(source, hold);
+        this->is_continue_due = false;
+        this->is_body_time_held = false;
     }
     if (ec == boost::system::errc::not_enough_memory)
     {
@@ -228,10 +265,11 @@
 request_reader::read_body(Parser& source, admission::body_hold& hold)
 {
     error_code ec;
-    while (!ec && !source.is_done())
+    while (!source.is_done() && this->can_read(ec))
     {
         this->byte_count += co_await read_piece(
-            this->socket, this->guard, this->buffer, source, ec);
+            this->connection, this->guard, this->buffer, source, ec);
+        this->limit_body();
         if (!ec && !hold.grow_to(known_body_bytes(source)))
         {
             ec = make_error_code(boost::system::errc::not_enough_memory);
--- a/src/drivers/internal/request_reader.hpp
+++ b/src/drivers/internal/request_reader.hpp
@@ -1,13 +1,16 @@
-// Reads complete requests from a connection within size and time limits.
+// Reads complete requests from a connection within size and time limits. The
+// reader can't write: it reports when a `100 Continue` is due, and whoever
+// writes the responses sends it.
 #pragma once
 
 #include "base/moment.hpp"
 #include "drivers/http.hpp"
-#include "drivers/internal/deadline_guard.hpp"
+#include "drivers/internal/accepted_connection.hpp"
 
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string_view>
 #include <variant>
 
@@ -51,10 +54,11 @@
 class request_reader
 {
 public:
-    // The socket, the guard and the limits must outlive the reader.
-    request_reader(tcp::socket& connection,
-                   deadline_guard& socket_guard,
-                   read_limits const& bounds);
+    // The connection and the limits must outlive the reader. `on_continue_due`
+    // is called when a `100 Continue` becomes due.
+    request_reader(accepted_connection& source,
+                   read_limits const& bounds,
+                   std::function<void()> on_continue_due);
 
     // Reads the next request. If `is_idle_limited`, the idle timeout starts at
     // once; otherwise it starts with limit_idle().
@@ -62,6 +66,16 @@
     // Starts the idle timeout if no request is being read. Called when no
     // response is pending.
     void limit_idle();
+    // Ends the read in progress.
+    void stop();
+
+    // Returns true once for a request whose caller waits for a `100 Continue`
+    // before it sends the body. The answers to all earlier requests come first.
+    // Returns false once the request is complete.
+    bool take_due_continue();
+    // Starts the body timeout, which does not run while the `100 Continue`
+    // waits for its turn, unless the body has begun to arrive.
+    void handle_continue_written();
 
     // True while no byte of the next request has been read.
     [[nodiscard]] bool is_idle() const;
@@ -71,15 +85,23 @@
     std::uint64_t consume_byte_count();
 
 private:
-    tcp::socket& socket;
+    accepted_connection& connection;
     deadline_guard& guard;
     read_limits const& limits;
     boost::beast::flat_buffer buffer;
+    std::function<void()> report_continue_due;
     bool is_between_requests = true;
+    bool is_continue_due = false;
+    // True while the body timeout waits for the `100 Continue` or the body.
+    bool is_body_time_held = false;
+    bool is_stopped = false;
     std::uint64_t byte_count = 0;
     incoming_request refused_request;
 
     asio::awaitable<read_result> read_message();
+    void limit_body();
+    // Returns false after an error and, with an error, after stop().
+    bool can_read(error_code& ec) const;
     // Reads the rest of the body while there is room for it.
     template <class Parser>
     asio::awaitable<error_code> read_body(Parser& source,
--- a/src/drivers/internal/response_writer.cpp
+++ b/src/drivers/internal/response_writer.cpp
@@ -46,36 +46,52 @@
 
 } // namespace
 
-asio::awaitable<std::uint64_t> write_answer(tcp::socket& socket,
-                                            deadline_guard& guard,
-                                            duration timeout,
-                                            outgoing_answer const& content)
+response_writer::response_writer(accepted_connection& connection)
+    : socket(connection.take_writing_side()), guard(this->socket)
+{
+}
+
+asio::awaitable<std::uint64_t>
+response_writer::write(outgoing_answer const& content, duration timeout)
 {
     auto const message = to_response(content);
+    co_return co_await this->write_message(message, timeout);
+}
+
+asio::awaitable<std::uint64_t> response_writer::write_continue(duration timeout)
+{
+    http::response<http::empty_body> const interim(http::status::continue_,
+                                                   http_version_1_1);
+    co_return co_await this->write_message(interim, timeout);
+}
+
+template <class Message>
+asio::awaitable<std::uint64_t>
+response_writer::write_message(Message const& message, duration timeout)
+{
     error_code ec;
-    guard.arm(timeout);
+    this->guard.arm(timeout);
     auto const count = co_await http::async_write(
-        socket, message, asio::redirect_error(asio::use_awaitable, ec));
-    guard.disarm();
+        this->socket, message, asio::redirect_error(asio::use_awaitable, ec));
+    this->guard.disarm();
     co_return ec ? 0 : count;
 }
 
-asio::awaitable<void> close_gracefully(tcp::socket& socket,
-                                       deadline_guard& guard)
+asio::awaitable<void> response_writer::close_gracefully()
 {
     error_code ec;
-    socket.shutdown(tcp::socket::shutdown_send, ec);
-    guard.arm(linger_time);
+    this->socket.shutdown(tcp::socket::shutdown_send, ec);
+    this->guard.arm(linger_time);
     std::array<char, linger_chunk_bytes> discarded{};
     std::size_t total = 0;
-    while (!ec && total < linger_bytes && !guard.is_expired())
+    while (!ec && total < linger_bytes && !this->guard.is_expired())
     {
-        total += co_await socket.async_read_some(
+        total += co_await this->socket.async_read_some(
             asio::buffer(discarded),
             asio::redirect_error(asio::use_awaitable, ec));
     }
-    guard.disarm();
-    socket.close(ec);
+    this->guard.disarm();
+    this->socket.close(ec);
 }
 
 } // namespace plantaintally::drivers
--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -1,8 +1,6 @@
 #include "drivers/internal/session.hpp"
 
 #include "drivers/internal/arrival.hpp"
-#include "drivers/internal/peek.hpp"
-#include "drivers/internal/response_writer.hpp"
 #include "logging/logging.hpp"
 
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -32,13 +30,6 @@
 // milliseconds.
 constexpr duration body_retry_delay = std::chrono::milliseconds(200);
 
-std::string remote_address(tcp::socket const& socket)
-{
-    error_code ec;
-    auto const remote = socket.remote_endpoint(ec);
-    return ec ? std::string() : remote.address().to_string();
-}
-
 // Returns the body; its memory counts as held until the last reference is gone.
 std::shared_ptr<std::string const> share_body(incoming_request request)
 {
@@ -52,15 +43,6 @@
     return {owner, &owner->text};
 }
 
-bool is_own_host(tcp::socket const& socket)
-{
-    error_code ec;
-    auto const local = socket.local_endpoint(ec);
-    error_code remote_ec;
-    auto const remote = socket.remote_endpoint(remote_ec);
-    return !ec && !remote_ec && local.address() == remote.address();
-}
-
 // Creates the refusal for a request that could not be read; nothing if the
 // connection has ended.
 std::optional<refused_answer> refusal_for(read_failure failure)
@@ -106,12 +88,13 @@
 } // namespace
 
 session::session(tcp::socket accepted, session_services& shared)
-    : services(shared), socket(std::move(accepted)), read_guard(this->socket),
-      write_guard(this->socket),
-      reader(this->socket, this->read_guard, shared.limits),
-      remote_ip(remote_address(this->socket)),
-      is_remote_own_host(is_own_host(this->socket)),
-      state_changed(this->socket.get_executor())
+    : services(shared), connection(std::move(accepted)),
+      reader(this->connection,
+             shared.limits,
+             [this] { this->state_changed.cancel(); }),
+      remote_ip(this->connection.remote_ip()),
+      is_remote_own_host(this->connection.is_from_own_host()),
+      state_changed(this->connection.executor())
 {
     this->services.open_sessions.insert(this);
 }
@@ -124,8 +107,9 @@
 asio::awaitable<void> session::serve()
 {
     using namespace asio::experimental::awaitable_operators;
-    co_await (this->read_requests() && this->write_answers());
-    co_await close_gracefully(this->socket, this->write_guard);
+    response_writer writer(this->connection);
+    co_await (this->read_requests() && this->write_answers(writer));
+    co_await writer.close_gracefully();
 }
 
 asio::awaitable<void> session::refuse_connection()
@@ -136,16 +120,16 @@
     answer_recipient const recipient{this->services.source,
                                      this->services.make_trace_id()};
     exchange_reply const reply = std::move(refused);
-    co_await this->write_reply(recipient, reply, false, false);
-    co_await close_gracefully(this->socket, this->write_guard);
+    response_writer writer(this->connection);
+    co_await this->write_reply(writer, recipient, reply, false, false);
+    co_await writer.close_gracefully();
 }
 
 void session::close_if_idle()
 {
     if (this->reader.is_idle() && this->pending.empty())
     {
-        error_code ignored;
-        this->socket.cancel(ignored);
+        this->connection.cancel();
     }
 }
 
@@ -188,10 +172,15 @@
     this->state_changed.cancel();
 }
 
-asio::awaitable<void> session::write_answers()
+asio::awaitable<void> session::write_answers(response_writer& writer)
 {
     while (!this->is_closing)
     {
+        if (this->pending.empty() && this->reader.take_due_continue())
+        {
+            this->is_closing = !co_await this->write_continue(writer);
+            continue;
+        }
         if (this->pending.empty() && this->has_read_all)
         {
             break;
@@ -202,7 +191,7 @@
             continue;
         }
         bool const stays_open =
-            co_await this->write_pending(this->pending.front());
+            co_await this->write_pending(writer, this->pending.front());
         this->pending.pop_front();
         this->is_closing = !stays_open;
         this->state_changed.cancel();
@@ -221,8 +210,7 @@
             co_await this->services.exchanges.wait(*id);
         }
     }
-    error_code ignored;
-    this->socket.cancel(ignored);
+    this->reader.stop();
 }
 
 asio::awaitable<void> session::wait_for_change()
@@ -267,7 +255,7 @@
     accepted_request.recipient.trace_id = arrived.value().head.trace_id;
     // The caller has closed the connection already, so the request need not
     // run.
-    if (peek(this->socket) == peek_result::end)
+    if (this->connection.peek() == peek_result::end)
     {
         this->services.driver_metrics.add({"requests_read_too_late_total",
                                            "listener",
@@ -291,7 +279,8 @@
 }
 
 asio::awaitable<bool>
-session::write_pending(pending_answer const& pending_reply)
+session::write_pending(response_writer& writer,
+                       pending_answer const& pending_reply)
 {
     bool const stays_open = pending_reply.is_keep_alive;
     if (auto const* const local_reply =
@@ -303,18 +292,24 @@
         content.body = local_reply->body;
         content.is_head = pending_reply.is_head;
         content.is_keep_alive = stays_open;
-        co_return co_await this->write(std::move(content));
+        co_return co_await this->write(writer, std::move(content));
     }
     if (auto const* const reply =
             std::get_if<exchange_reply>(&pending_reply.content))
     {
-        co_return co_await this->write_reply(
-            pending_reply.recipient, *reply, pending_reply.is_head, stays_open);
+        co_return co_await this->write_reply(writer,
+                                             pending_reply.recipient,
+                                             *reply,
+                                             pending_reply.is_head,
+                                             stays_open);
     }
     auto const reply = co_await this->services.exchanges.wait(
         std::get<exchange_id>(pending_reply.content));
-    co_return co_await this->write_reply(
-        pending_reply.recipient, reply, pending_reply.is_head, stays_open);
+    co_return co_await this->write_reply(writer,
+                                         pending_reply.recipient,
+                                         reply,
+                                         pending_reply.is_head,
+                                         stays_open);
 }
 
 void session::abandon_pending()
@@ -340,7 +335,8 @@
     }
 }
 
-asio::awaitable<bool> session::write_reply(answer_recipient const& recipient,
+asio::awaitable<bool> session::write_reply(response_writer& writer,
+                                           answer_recipient const& recipient,
                                            exchange_reply const& reply,
                                            bool is_head,
                                            bool is_keep_alive)
@@ -377,21 +373,29 @@
         content.declared_content_length =
             forwarded_reply.content->declared_content_length;
     }
-    co_return co_await this->write(std::move(content));
+    co_return co_await this->write(writer, std::move(content));
+}
+
+asio::awaitable<bool> session::write_continue(response_writer& writer)
+{
+    auto const count =
+        co_await writer.write_continue(this->services.write_timeout);
+    this->count_sent_bytes(count);
+    this->reader.handle_continue_written();
+    co_return count != 0;
 }
 
-asio::awaitable<bool> session::write(outgoing_answer content)
+asio::awaitable<bool> session::write(response_writer& writer,
+                                     outgoing_answer content)
 {
     // A stopping node closes the connection with the last pending response.
     bool const is_last = this->pending.size() <= 1 && !this->is_accepting;
     content.is_keep_alive =
         content.is_keep_alive && !(this->services.is_stopping && is_last);
     this->is_last_answer = !content.is_keep_alive;
-    auto const count = co_await write_answer(
-        this->socket, this->write_guard, this->services.write_timeout, content);
-    metric_name const sent{
-        "sent_bytes_total", "listener", this->services.listener_name, {}, {}};
-    this->services.driver_metrics.add(sent, static_cast<double>(count));
+    auto const count =
+        co_await writer.write(content, this->services.write_timeout);
+    this->count_sent_bytes(count);
     if (count == 0)
     {
         this->services.driver_metrics.add({"answers_unwritten_total",
@@ -403,6 +407,13 @@
     co_return count != 0 && content.is_keep_alive;
 }
 
+void session::count_sent_bytes(std::uint64_t count)
+{
+    metric_name const sent{
+        "sent_bytes_total", "listener", this->services.listener_name, {}, {}};
+    this->services.driver_metrics.add(sent, static_cast<double>(count));
+}
+
 void session::handle_read_failure(read_failure failure)
 {
     if (failure == read_failure::closed)
--- a/src/drivers/internal/session.hpp
+++ b/src/drivers/internal/session.hpp
@@ -4,11 +4,12 @@
 #pragma once
 
 #include "drivers/dialect.hpp"
+#include "drivers/internal/accepted_connection.hpp"
 #include "drivers/internal/answer_headers.hpp"
 #include "drivers/internal/counters.hpp"
-#include "drivers/internal/deadline_guard.hpp"
 #include "drivers/internal/exchange_table.hpp"
 #include "drivers/internal/request_reader.hpp"
+#include "drivers/internal/response_writer.hpp"
 #include "messages/events.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -90,9 +91,7 @@
     };
 
     session_services& services;
-    tcp::socket socket;
-    deadline_guard read_guard;
-    deadline_guard write_guard;
+    accepted_connection connection;
     request_reader reader;
     std::string remote_ip;
     bool is_remote_own_host = false;
@@ -111,19 +110,26 @@
     bool is_abandoned = false;
 
     asio::awaitable<void> read_requests();
-    asio::awaitable<void> write_answers();
+    // Writes the responses in the order of the requests. No other coroutine of
+    // a session has the writer.
+    asio::awaitable<void> write_answers(response_writer& writer);
     // Waits until the reading or the writing side signals a change.
     asio::awaitable<void> wait_for_change();
     asio::awaitable<pending_answer> accept_request(incoming_request request);
-    asio::awaitable<bool> write_pending(pending_answer const& pending_reply);
+    asio::awaitable<bool> write_pending(response_writer& writer,
+                                        pending_answer const& pending_reply);
     void add_pending(pending_answer pending_reply);
     // Abandons all pending responses because the caller has gone.
     void abandon_pending();
-    asio::awaitable<bool> write_reply(answer_recipient const& recipient,
+    asio::awaitable<bool> write_reply(response_writer& writer,
+                                      answer_recipient const& recipient,
                                       exchange_reply const& reply,
                                       bool is_head,
                                       bool is_keep_alive);
-    asio::awaitable<bool> write(outgoing_answer content);
+    asio::awaitable<bool> write_continue(response_writer& writer);
+    asio::awaitable<bool> write(response_writer& writer,
+                                outgoing_answer content);
+    void count_sent_bytes(std::uint64_t count);
     void handle_read_failure(read_failure failure);
     // Counts and logs input that reached no decision.
     void note_refused_input(std::string_view reason, std::string_view detail);
--- a/src/drivers/tests/listener_test.cpp
+++ b/src/drivers/tests/listener_test.cpp
@@ -3,8 +3,10 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <fstream>
 #include <iterator>
+#include <optional>
 #include <sstream>
 
 using namespace plantaintally;
@@ -28,6 +30,62 @@
     return message.starts_with("HTTP/1.1 " + std::to_string(status) + " ");
 }
 
+void await_metric(driven_node& node,
+                  std::string const& line_prefix,
+                  std::string_view value)
+{
+    auto const end = std::chrono::steady_clock::now() + test_timeout;
+    while (node.metric(line_prefix) != value &&
+           std::chrono::steady_clock::now() < end)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    CHECK(node.metric(line_prefix) == value);
+}
+
+constexpr std::string_view head_with_expectation =
+    "PUT /rota HTTP/1.1\r\nHost: rota-board\r\nContent-Length: 5\r\n"
+    "Expect: 100-continue\r\n\r\n";
+
+// Refuses the first request when the upstream leaves, and later requests at
+// once.
+class first_request_holder
+{
+public:
+    explicit first_request_holder(std::string first_detail)
+        : detail(std::move(first_detail))
+    {
+    }
+
+    effects operator()(event const& happened)
+    {
+        if (std::holds_alternative<upstream_gone>(happened) && this->held)
+        {
+            return {refuse_request{*this->held, 503, this->detail, {}}};
+        }
+        auto const* const arrived = std::get_if<request_arrived>(&happened);
+        if (arrived != nullptr && !this->held)
+        {
+            this->held = arrived->exchange;
+            return {};
+        }
+        return refuse_all(happened);
+    }
+
+    static void release(driven_node const& node)
+    {
+        auto const released =
+            send_request(node.local_address(),
+                         "POST /plantaintally/v1/gone HTTP/1.1\r\n"
+                         "Host: node\r\nContent-Length: 0\r\n\r\n");
+        REQUIRE(has_status(released, 200));
+    }
+
+private:
+    std::string detail;
+    std::optional<exchange_id> held;
+};
+
 } // namespace
 
 TEST_CASE("a refusal states its reason, its verdict and when to retry")
@@ -260,6 +318,137 @@
     CHECK(node.count<request_arrived>() == 0);
 }
 
+TEST_CASE("an interim response does not enter the body of an earlier answer")
+{
+    constexpr std::size_t ample_bytes = 24U << 20U;
+    driven_node node(first_request_holder(std::string(ample_bytes, 'x')));
+    test_connection caller(node.caller_address());
+    caller.write(plain_request);
+    node.wait_for<request_arrived>();
+    first_request_holder::release(node);
+    // Until the first answer fills the sockets.
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    caller.write(head_with_expectation);
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    auto const first = caller.read_message();
+    CHECK(has_status(first, 503));
+    CHECK(first.find("100 Continue") == std::string::npos);
+    CHECK(std::ranges::count(body_of(first), 'x') >=
+          static_cast<std::ptrdiff_t>(ample_bytes));
+    CHECK(has_status(caller.read_message(), 100));
+    caller.write("rota!");
+    CHECK(body_of(caller.read_message()).find("too much work") !=
+          std::string::npos);
+}
+
+TEST_CASE("an interim response waits for the answers to earlier requests, and "
+          "the body's time for the interim response")
+{
+    constexpr auto body_timeout = std::chrono::milliseconds(500);
+    driven_node node(first_request_holder("first"),
+                     [&](settings::node_settings& config)
+                     { config.limits.body_timeout = body_timeout; });
+    test_connection caller(node.caller_address());
+    caller.write(plain_request);
+    node.wait_for<request_arrived>();
+    caller.write(head_with_expectation);
+    std::this_thread::sleep_for(2 * body_timeout);
+    first_request_holder::release(node);
+    CHECK(body_of(caller.read_message()).find("first") != std::string::npos);
+    CHECK(has_status(caller.read_message(), 100));
+    caller.write("rota!");
+    CHECK(body_of(caller.read_message()).find("too much work") !=
+          std::string::npos);
+    // The time of a body for which the interim response was sent is limited.
+    caller.write(head_with_expectation);
+    CHECK(has_status(caller.read_message(), 100));
+    CHECK(has_status(caller.read_message(), 408));
+}
+
+TEST_CASE("a body that does not wait for its interim response is not held up")
+{
+    driven_node node(first_request_holder("first"),
+                     [&](settings::node_settings& config) {
+                         config.limits.body_timeout =
+                             std::chrono::milliseconds(200);
+                     });
+    test_connection caller(node.caller_address());
+    caller.write(plain_request);
+    node.wait_for<request_arrived>();
+    caller.write(head_with_expectation);
+    caller.write("rota!");
+    node.wait_for<request_arrived>(2);
+    caller.write(std::string(head_with_expectation) + "rota!");
+    node.wait_for<request_arrived>(3);
+    // A body that has begun has to end in time.
+    caller.write(std::string(head_with_expectation) + "ro");
+    std::string const too_slow =
+        R"(input_refused_total{listener="caller",reason="body-too-slow"})";
+    await_metric(node, too_slow, "1");
+    first_request_holder::release(node);
+    CHECK(body_of(caller.read_message()).find("first") != std::string::npos);
+    for (int request = 2; request <= 3; ++request)
+    {
+        CHECK(body_of(caller.read_message()).find("too much work") !=
+              std::string::npos);
+    }
+    CHECK(has_status(caller.read_message(), 408));
+}
+
+TEST_CASE("a caller that leaves while its interim response waits is reported")
+{
+    driven_node node([](event const&) { return effects(); });
+    test_connection caller(node.caller_address());
+    caller.write(plain_request);
+    node.wait_for<request_arrived>();
+    caller.write(head_with_expectation);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    SECTION("by a reset")
+    {
+        caller.reset();
+    }
+    SECTION("by closing")
+    {
+        caller.close();
+    }
+    node.wait_for<caller_gone>();
+    CHECK(node.count<caller_gone>() == 1);
+    await_metric(node, R"(connections{listener="caller"})", "0");
+}
+
+TEST_CASE("a stopping node closes a connection whose interim response waits")
+{
+    first_request_holder holder("first");
+    driven_node node(
+        [&](event const& happened)
+        {
+            auto requested = holder(happened);
+            if (std::holds_alternative<upstream_gone>(happened))
+            {
+                requested.push_back(exit_process{});
+            }
+            return requested;
+        },
+        {},
+        true);
+    test_connection caller(node.caller_address());
+    caller.write(plain_request);
+    node.wait_for<request_arrived>();
+    caller.write(head_with_expectation);
+    std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    node.request_stop();
+    node.wait_for<stop_requested>();
+    first_request_holder::release(node);
+    auto const first = caller.read_message();
+    CHECK(body_of(first).find("first") != std::string::npos);
+    CHECK(header_of(first, "Connection") == "close");
+    CHECK(caller.read_all().empty());
+    auto const left_at = std::chrono::steady_clock::now();
+    caller.close();
+    node.join();
+    CHECK(std::chrono::steady_clock::now() - left_at < std::chrono::seconds(5));
+}
+
 TEST_CASE("idle connections are closed without a response")
 {
     driven_node node(refuse_all,
