Draw no random numbers for questions that nobody has to be asked

node_test failed after the questions to doubted members: the replays of recorded traces need the random numbers that were drawn when they were recorded, and each node drew one at its start and one a second for the time of the next question.

The time of the questions is now only drawn while there are doubted members, and the first question comes a second after the first doubt, by when most suspicions are refuted.

Evidence: node_test, all five cases "replay: ..." failed with and pass now with the traces as they were. membership_test passes, tests unchanged.

--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -31,8 +31,6 @@
 constexpr duration fetch_interval = std::chrono::milliseconds(500);
 // Interval between attempts to reach a random gone member.
 constexpr duration reconnect_interval = std::chrono::seconds(10);
-// Interval between questions to members that others doubt.
-constexpr duration doubt_interval = std::chrono::seconds(1);
 // Shortest interval between repairs of the own service's records.
 constexpr duration service_repair_interval = std::chrono::seconds(1);
 // Number of random peers informed at once of a change of this node.
@@ -347,7 +345,6 @@
         jittered_deadline(watcher_selection_interval, current);
     membership.next_fetch = jittered_deadline(fetch_interval, current);
     membership.next_reconnect = jittered_deadline(reconnect_interval, current);
-    membership.next_doubt_round = jittered_deadline(doubt_interval, current);
     membership.contacts.next_read =
         now + std::chrono::duration_cast<duration>(
                   first_read_window * draw_fraction(current.random));
@@ -497,10 +494,13 @@
                reconnect_interval,
                current,
                [&] { try_reconnect(membership, current); });
-    run_if_due(membership.next_doubt_round,
-               doubt_interval,
-               current,
-               [&] { ask_doubted_members(membership, current); });
+    if (!membership.doubted.empty())
+    {
+        run_if_due(membership.next_doubt_round,
+                   doubt_interval,
+                   current,
+                   [&] { ask_doubted_members(membership, current); });
+    }
     expire_tombstones(membership, current.now.monotonic);
     expire_service_lookups(membership, current.now.monotonic);
     refresh_contacts(membership, current);
--- a/src/membership/internal/view.cpp
+++ b/src/membership/internal/view.cpp
@@ -109,6 +109,11 @@
         membership.doubted.erase(address);
         return;
     }
+    if (membership.doubted.empty())
+    {
+        // Most suspicions are refuted before the first question.
+        membership.next_doubt_round = now + doubt_interval;
+    }
     membership.doubted[address] = now + doubt_lifetime;
 }
 
--- a/src/membership/internal/view.hpp
+++ b/src/membership/internal/view.hpp
@@ -17,6 +17,10 @@
 // with one hash for each bucket.
 inline constexpr std::size_t bucket_count = 32;
 
+// Interval between questions to members that are suspected or gone though they
+// may be alive.
+inline constexpr duration doubt_interval = std::chrono::seconds(1);
+
 // True if `left` supersedes `right`. Both must have the same address.
 bool is_newer(member_record const& left, member_record const& right);
 
