Departures: late reports are no proof of life at a start without the store

A node that started while the store was away took two reports a second apart as proof that their incarnation was running.

Cause: reports may be seconds late, each by another span, so that a second between them shows nothing about when the later one was sent.

A process that has not read the record yet now takes a report as proof only if it arrives more than five seconds after the first one: reports from before the start are in by then. A running upstream is back within five seconds and one interval of its reports also if the store stays away. A process that has read the record knows all departures and asks for a second, as before.

departures_test, "without the store, reports from before the start don't make an incarnation ready", and node_test, "late reports from before a start without the store don't open admission", failed before. Mutation LATE_PROOF, the former rule, is found by the model. The test of reports that arrive together required that an incarnation is ready after 1.5 s, which is the fault; it now requires it after 5.5 s, and a further test that a running one is ready within 6.5 s.

--- a/spec/departures.pml
+++ b/spec/departures.pml
@@ -9,19 +9,20 @@
  * effect. A report that an incarnation is ready may arrive at any later time
  * and any number of times.
  *
- * While the store is unavailable, a node that has not read its record accepts
- * an incarnation as ready only after two reports sent at least a second apart.
- * Delayed reports arrive together, so two such reports prove that the
- * incarnation is still running. The model assumes this (take_live_pair).
- * LATE_PROOF drops the assumption: two delayed reports arrive a second apart and
- * count as proof. Then the node may send requests to an incarnation that has
- * departed, but only until it has read its record (AFTER_READ).
+ * While the record can't be read, a node accepts an incarnation as ready only
+ * after two reports that arrive some time apart. If that is longer than reports
+ * can be late, the second one was sent after the first one arrived, so that the
+ * incarnation is still running (take_live_pair). A node that has read its record
+ * once waits for a second only, and two late reports may arrive so far apart
+ * (take_late_pair). With LATE_PROOF they count at any node: then it may send
+ * requests to an incarnation that has departed, but only until it has read its
+ * record (AFTER_READ).
  *
  * Steps have the names of the functions in src/departures. Mutations that must
  * yield a counterexample: NO_RECORD, NO_LOOK, NO_BORN, NO_WAIT, NO_START_TIME
  * (a departure without a start time closes only an incarnation that the node
  * knows), ACK_ALL (the end of a write acknowledges departures that arrived after
- * its beginning), KEEP_OPEN with LATE_PROOF and AFTER_READ (reading the record
+ * its beginning), LATE_PROOF, KEEP_OPEN with LATE_PROOF and AFTER_READ (reading the record
  * does not close an incarnation that is open). REACH_ANEW and REACH_WITHOUT_STORE assert that an incarnation is never opened for requests
  * after an acknowledged departure or without the store; both assertions must
  * fail.
@@ -40,12 +41,14 @@
 /* The node's memory, as births; zero means none. `left`: the highest one known
  * to have left; `present`: the newest one reported ready; `open`: the one that
  * gets requests; `waiting`: reported ready, but the record has not been read;
- * `asking`: its departure waits for the acknowledgement. */
+ * `has_looked_once`: it has been read by this process, if not since the last write
+ * that failed; `asking`: its departure waits for the acknowledgement. */
 byte left = 0;
 byte present = 0;
 byte open = 0;
 byte waiting = 0;
 bool has_looked = false;
+bool has_looked_once = false;
 bool is_unrecorded = false;
 byte asking = 0;
 
@@ -80,6 +83,12 @@
 #define IS_OUTDATED(b) (b < present)
 #endif
 
+#ifdef LATE_PROOF
+#define IS_PROVEN_BY_LATE_PAIR true
+#else
+#define IS_PROVEN_BY_LATE_PAIR has_looked_once
+#endif
+
 #ifdef NO_LOOK
 #define MAY_OPEN true
 #else
@@ -130,8 +139,10 @@
     atomic {
         born >= b && !has_looked && !HAS_LEFT(b) && !IS_OUTDATED(b) ->
             present = b;
-            open = b;
-            waiting = 0;
+            if
+            :: IS_PROVEN_BY_LATE_PAIR -> open = b; waiting = 0
+            :: else -> waiting = b
+            fi;
             check()
     }
 }
@@ -158,6 +169,7 @@
     atomic {
         is_store_up && !has_looked ->
             has_looked = true;
+            has_looked_once = true;
             left = (recorded > left -> recorded : left);
 #ifndef KEEP_OPEN
             open = (open > left -> open : 0);
@@ -229,7 +241,7 @@
         fi;
         writing = 0; covered = 0;
         left = 0; present = 0; open = 0; waiting = 0; asking = 0;
-        has_looked = false; is_unrecorded = false;
+        has_looked = false; has_looked_once = false; is_unrecorded = false;
     }
 }
 
@@ -239,10 +251,8 @@
     :: take_ready(1)
     :: born == 2 -> take_ready(2)
     :: take_live_pair()
-#ifdef LATE_PROOF
     :: take_late_pair(1)
     :: take_late_pair(2)
-#endif
     :: !is_leaving -> is_leaving = true
     :: take_leaving()
 #ifdef NO_WAIT
--- a/src/departures/departures.hpp
+++ b/src/departures/departures.hpp
@@ -58,6 +58,9 @@
     // False until the stored record has been read, and again after a failed
     // write until it has been read again.
     bool is_record_read = false;
+    // True once the record has been read. From then on `departed` holds the
+    // departures that earlier processes acknowledged.
+    bool was_record_read = false;
     // True if `departed` holds incarnations that neither the record nor the
     // pending write contains.
     bool has_unrecorded = false;
--- a/src/departures/internal/departures.cpp
+++ b/src/departures/internal/departures.cpp
@@ -16,10 +16,14 @@
 constexpr duration retry_interval = std::chrono::milliseconds(400);
 constexpr double retry_jitter = 0.3;
 // While the record can't be read, an incarnation is considered ready once two
-// of its reports have arrived at least this far apart. Reports that were
+// of its reports have arrived further apart than this. Reports that were
 // delayed by a network partition arrive together when it heals, so they don't
 // qualify.
 constexpr duration min_live_report_gap = std::chrono::seconds(1);
+// The same for a process that may not know of a departure that an earlier one
+// has acknowledged. It is longer than the reports from before that departure
+// can be late.
+constexpr duration max_report_delay = std::chrono::seconds(5);
 // After the store has come back from an older copy, the record is checked if
 // `departed` has changed this recently: reports arrive seconds late at most,
 // and in a large fleet only few nodes then call the store.
@@ -138,6 +142,19 @@
             .count());
 }
 
+// Returns true if this report of the waiting candidate shows that it is
+// running.
+bool is_proof_of_life(state const& departures,
+                      upstream_incarnation const& incarnation,
+                      instant now)
+{
+    candidate const& waiting = *departures.waiting_candidate;
+    duration const gap =
+        departures.was_record_read ? min_live_report_gap : max_report_delay;
+    return incarnation.sequence != waiting.first_sequence &&
+           now - waiting.first_seen > gap;
+}
+
 outcome open_candidate(state& departures, step& current)
 {
     outcome changes;
@@ -189,11 +206,9 @@
     if (departures.waiting_candidate)
     {
         departures.waiting_candidate->announcement = reported.announcement;
-        candidate const& waiting = *departures.waiting_candidate;
-        bool const is_live =
-            incarnation.sequence != waiting.first_sequence &&
-            current.now.monotonic - waiting.first_seen >= min_live_report_gap;
-        return departures.is_record_read || is_live
+        return departures.is_record_read ||
+                       is_proof_of_life(
+                           departures, incarnation, current.now.monotonic)
                    ? open_candidate(departures, current)
                    : outcome{};
     }
@@ -356,6 +371,7 @@
         return {};
     }
     departures.is_record_read = true;
+    departures.was_record_read = true;
     departures.is_check_due = false;
     departures.record_revision = entry == nullptr ? 0 : entry->revision;
     merge_record(departures,
--- a/src/departures/tests/departures_test.cpp
+++ b/src/departures/tests/departures_test.cpp
@@ -198,10 +198,57 @@
     node.reply(store_unavailable{false});
     CHECK_FALSE(node.report(make_incarnation("i-1", 5, 1)).opened);
     CHECK_FALSE(node.report(make_incarnation("i-1", 5, 2)).opened);
-    node.now += 1500ms;
+    node.now += 5500ms;
     CHECK(node.report(make_incarnation("i-1", 5, 3)).opened);
 }
 
+// Guards against late reports that are taken as a proof of life by a process
+// that can't know yet of a departure that an earlier one acknowledged.
+TEST_CASE("without the store, reports from before the start don't make an "
+          "incarnation ready")
+{
+    process node;
+    node.reply(store_unavailable{false});
+    node.now += 900ms;
+    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 7)).opened);
+    node.now += 1500ms;
+    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 8)).opened);
+    node.now += 2500ms;
+    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 9)).opened);
+    node.advance(1s);
+    CHECK_FALSE(node.reply(store_entry{"k", "5 i-1\n", 7}).opened);
+    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 10)).opened);
+}
+
+TEST_CASE("without the store, a running incarnation is ready within seconds")
+{
+    process node;
+    node.reply(store_unavailable{false});
+    instant const first = node.now;
+    std::uint64_t sequence = 1;
+    while (!node.report(make_incarnation("i-1", 5, sequence)).opened)
+    {
+        REQUIRE(node.now - first < 6500ms);
+        node.now += 1500ms;
+        ++sequence;
+    }
+}
+
+TEST_CASE(
+    "a process that knows all departures puts a new incarnation into service "
+    "a second later if a write fails")
+{
+    process node;
+    node.reply(store_missing{});
+    node.report(make_incarnation("i-1", 5, 1));
+    node.report(make_incarnation("i-1", 5, 2), upstream_phase::gone);
+    node.reply(store_unavailable{true});
+    CHECK_FALSE(node.report(make_incarnation("i-2", 9, 1)).opened);
+    node.now += 1500ms;
+    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 3)).opened);
+    CHECK(node.report(make_incarnation("i-2", 9, 2)).opened);
+}
+
 TEST_CASE(
     "the departure of a newer incarnation that was never ready drains the node")
 {
--- a/src/node/tests/departure_record_test.cpp
+++ b/src/node/tests/departure_record_test.cpp
@@ -83,3 +83,17 @@
     node.report(3);
     CHECK_FALSE(node.takes_work());
 }
+
+TEST_CASE(
+    "late reports from before a start without the store don't open admission")
+{
+    process node;
+    node.run_for(1s);
+    node.report(7);
+    node.run_for(1500ms);
+    node.report(8);
+    CHECK_FALSE(node.takes_work());
+    node.reply = store_entry{"k", "5 i-1\n", 7};
+    node.run_for(2s);
+    CHECK_FALSE(node.takes_work());
+}
