Accept all waiting connections in a turn of the event loop

Callers of a busy node saw their new connections left alone. Each listener accepted one connection in a turn of the event loop. With long turns connections arrived faster than that, and as the queue is served in order, the node took mostly connections whose callers had given up.

A listener now accepts what waits after each accept, up to 256 connections besides the first. It is the one class behind the callers', peers', local, edge and control listeners. What lies beyond a listener's limit is refused as before.

listener_test, "busy connections don't delay the acceptance of waiting ones", failed before: the last of 100 waiting connections was served after all 4,000 requests of busy ones.

--- a/src/drivers/internal/listener.cpp
+++ b/src/drivers/internal/listener.cpp
@@ -18,6 +18,9 @@
 // are closed without a response.
 constexpr std::uint32_t max_concurrent_refusals = 64;
 
+// Connections accepted in a turn of the event loop besides the first one.
+constexpr std::uint32_t max_accepts_per_turn = 256;
+
 // Delay after a failed accept, for example when no file descriptor is
 // available.
 constexpr auto accept_retry_delay = std::chrono::milliseconds(50);
@@ -78,6 +81,10 @@
     {
         this->acceptor.listen(tcp::acceptor::max_listen_connections, ec);
     }
+    if (!ec)
+    {
+        this->acceptor.non_blocking(true, ec);
+    }
     if (ec)
     {
         return fail(errc::io_failure,
@@ -114,6 +121,7 @@
         if (!ec)
         {
             this->handle_accepted(std::move(accepted));
+            this->accept_waiting();
             continue;
         }
         this->driver_metrics.add(this->metric("accept_failures_total"));
@@ -123,6 +131,23 @@
     }
 }
 
+// An asynchronous accept takes a turn of the event loop for each connection. If
+// the turns are long, connections arrive faster than that, and the queue holds
+// them until their callers have given up.
+void listener::accept_waiting()
+{
+    for (std::uint32_t count = 0; count < max_accepts_per_turn; ++count)
+    {
+        error_code ec;
+        auto accepted = this->acceptor.accept(ec);
+        if (ec)
+        {
+            return;
+        }
+        this->handle_accepted(std::move(accepted));
+    }
+}
+
 void listener::handle_accepted(tcp::socket accepted)
 {
     error_code ignored;
--- a/src/drivers/internal/listener.hpp
+++ b/src/drivers/internal/listener.hpp
@@ -56,6 +56,8 @@
     std::uint32_t active_refusals = 0;
 
     asio::awaitable<void> accept();
+    // Accepts the connections that wait already, up to a limit.
+    void accept_waiting();
     void handle_accepted(tcp::socket accepted);
     asio::awaitable<void> serve(tcp::socket accepted);
     asio::awaitable<void> refuse(tcp::socket accepted);
--- a/src/drivers/tests/listener_test.cpp
+++ b/src/drivers/tests/listener_test.cpp
@@ -3,7 +3,9 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
 
+#include <deque>
 #include <fstream>
+#include <future>
 #include <iterator>
 #include <sstream>
 
@@ -292,6 +294,81 @@
               .find("too much work") != std::string::npos);
 }
 
+TEST_CASE("busy connections don't delay the acceptance of waiting ones")
+{
+    constexpr std::size_t busy_count = 40;
+    constexpr std::size_t waiting_count = 100;
+    constexpr std::size_t pipelined_count = 100;
+    std::promise<void> all_sent;
+    std::size_t busy_arrivals = 0;
+    std::size_t waiting_arrivals = 0;
+    std::size_t busy_arrivals_before_last = 0;
+    driven_node node(
+        [&](event const& happened)
+        {
+            if (auto const* const arrived =
+                    std::get_if<request_arrived>(&happened))
+            {
+                auto const& target = arrived->head.target;
+                if (target == "/gate")
+                {
+                    all_sent.get_future().wait();
+                }
+                else if (target == "/busy")
+                {
+                    ++busy_arrivals;
+                }
+                else if (target == "/waiting" &&
+                         ++waiting_arrivals == waiting_count)
+                {
+                    busy_arrivals_before_last = busy_arrivals;
+                }
+            }
+            return refuse_all(happened);
+        });
+    std::deque<test_connection> busy;
+    for (std::size_t i = 0; i < busy_count; ++i)
+    {
+        busy.emplace_back(node.caller_address());
+        busy.back().write(plain_request);
+        REQUIRE(has_status(busy.back().read_message(), 503));
+    }
+    test_connection gate(node.caller_address());
+    gate.write("GET /gate HTTP/1.1\r\nHost: rota-board\r\n\r\n");
+    node.wait_for<request_arrived>(busy_count + 1);
+
+    // The event loop is blocked, so all of this waits for it.
+    std::string pipelined;
+    for (std::size_t i = 0; i < pipelined_count; ++i)
+    {
+        pipelined += "GET /busy HTTP/1.1\r\nHost: rota-board\r\n\r\n";
+    }
+    for (test_connection& each : busy)
+    {
+        REQUIRE(each.write(pipelined));
+    }
+    std::deque<test_connection> waiting;
+    for (std::size_t i = 0; i < waiting_count; ++i)
+    {
+        waiting.emplace_back(node.caller_address());
+        REQUIRE(waiting.back().write(
+            "GET /waiting HTTP/1.1\r\nHost: rota-board\r\n\r\n"));
+    }
+    all_sent.set_value();
+    for (test_connection& each : waiting)
+    {
+        CHECK(has_status(each.read_message(), 503));
+    }
+    for (test_connection& each : busy)
+    {
+        for (std::size_t i = 0; i < pipelined_count; ++i)
+        {
+            CHECK(has_status(each.read_message(), 503));
+        }
+    }
+    CHECK(busy_arrivals_before_last < busy_count * pipelined_count / 2);
+}
+
 TEST_CASE("a caller that closes its connection is reported once")
 {
     driven_node node([](event const&) { return effects(); });
