Bound the questions to one doubted member in large fleets

A member that is declared gone was asked by every node of the fleet once a second: in a fleet of 13,000 nodes, each would open a link to it as it returns.

A node now asks with a probability of 64 over the number of members it knows, so that a member gets about 64 questions a second in a fleet of any size. The others learn the answer by gossip.

Evidence: membership_test, "the questions to a gone member don't grow with the fleet", with 160 nodes. The tests of members that come back pass unchanged.

--- a/src/membership/internal/failure_detector.cpp
+++ b/src/membership/internal/failure_detector.cpp
@@ -3,6 +3,7 @@
 #include "membership/internal/gossip_queue.hpp"
 #include "membership/internal/send.hpp"
 #include "membership/internal/view.hpp"
+#include "membership/membership.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -20,6 +21,10 @@
 
 // Maximum number of doubted members asked at a time.
 constexpr std::size_t max_asked_members = 64;
+// Number of nodes that ask a doubted member in a round, on average. In a larger
+// fleet some nodes ask and the others learn the answer by gossip, so that the
+// messages to one member don't grow with the fleet.
+constexpr std::size_t max_asking_nodes = 64;
 
 duration silence_timeout(state const& membership)
 {
@@ -189,10 +194,14 @@
     auto next = std::next(
         membership.doubted.begin(),
         static_cast<std::ptrdiff_t>(draw_below(current.random, count)));
-    for (std::size_t sent = 0; sent < std::min(count, max_asked_members);
-         ++sent)
+    auto const known = std::max<std::size_t>(member_count(membership), 1);
+    for (std::size_t asked = 0; asked < std::min(count, max_asked_members);
+         ++asked)
     {
-        if (auto const* const held = find_record(membership, next->first))
+        auto const* const held = find_record(membership, next->first);
+        bool const is_asking =
+            draw_below(current.random, known) < max_asking_nodes;
+        if (held != nullptr && is_asking)
         {
             send(next->first, gossip{{*held}, false}, current);
         }
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -591,3 +591,28 @@
     all.run_for(60s);
     CHECK(records == 0);
 }
+
+TEST_CASE("the questions to a gone member don't grow with the fleet")
+{
+    constexpr int nodes = 160;
+    constexpr double max_questions_per_second = 64 * 1.25;
+    fleet all(61);
+    start_nodes(all, nodes);
+    REQUIRE(all.run_until([&] { return is_complete(all, nodes); }, 30s));
+    std::string const crashed = address_of(6);
+    all.crash(crashed);
+    REQUIRE(all.run_until([&] { return is_complete(all, nodes - 1); },
+                          crash_target));
+    std::size_t questions = 0;
+    all.on_send = [&](std::string const&, send_control const& sent)
+    {
+        auto const* message = std::get_if<membership::message>(&sent.message);
+        bool const is_question =
+            message != nullptr &&
+            std::holds_alternative<membership::gossip>(*message);
+        questions += sent.address == crashed && is_question ? 1 : 0;
+    };
+    all.run_for(20s);
+    CHECK(questions > 0);
+    CHECK(static_cast<double>(questions) / 20 <= max_questions_per_second);
+}
