--- a/src/drivers/internal/arrival.hpp
+++ b/src/drivers/internal/arrival.hpp
@@ -19,9 +19,9 @@
 result<parsed_request> parse_request(incoming_request const& request,
                                      request_origin const& origin);
 
-// Replaces a target in absolute form (http://HOST/PATH) by its path, and Host by
-// its authority, which takes precedence (RFC 9112, section 3.2.2). Other targets
-// stay as they are.
+// Replaces a target in absolute form (http://HOST/PATH) by its path, and Host
+// by its authority, which takes precedence (RFC 9112, section 3.2.2). Other
+// targets stay as they are.
 void use_origin_form(incoming_request& request);
 
 // Returns a caller's header as it is sent to another node. The receiver
