Read a request that arrived in time after a long turn of the event loop

A caller's request on a kept connection was taken from the socket and dropped, and the connection closed without an answer, if the node was held up until the idle time had passed: since empty lines are skipped, the idle time was also looked at behind the read.

The idle time now ends the connection only if no byte of a request is there.

Evidence: listener_test, "a request within the idle time is read after a long turn of the event loop", failed before.

--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -170,12 +170,16 @@
         error_code ec;
         this->byte_count +=
             co_await receive_piece(this->connection, this->buffer, ec);
-        if (!this->can_read(ec) || this->guard.is_expired())
+        if (!this->can_read(ec))
         {
             co_return this->guard.is_expired() ? read_failure::idle
                                                : read_failure::closed;
         }
         this->is_between_requests = !skip_empty_lines(this->buffer);
+        if (this->is_between_requests && this->guard.is_expired())
+        {
+            co_return read_failure::idle;
+        }
     }
     auto message = co_await this->read_message();
     this->guard.disarm();
--- a/src/drivers/tests/listener_test.cpp
+++ b/src/drivers/tests/listener_test.cpp
@@ -462,6 +462,36 @@
     CHECK(connection.read_all().empty());
 }
 
+TEST_CASE(
+    "a request within the idle time is read after a long turn of the event "
+    "loop")
+{
+    constexpr auto idle_timeout = std::chrono::milliseconds(300);
+    std::promise<void> is_late;
+    driven_node node(
+        [&](event const& happened)
+        {
+            auto const* const arrived = std::get_if<request_arrived>(&happened);
+            if (arrived != nullptr && arrived->head.target == "/gate")
+            {
+                is_late.get_future().wait();
+            }
+            return refuse_all(happened);
+        },
+        [&](settings::node_settings& config)
+        { config.limits.idle_timeout = idle_timeout; });
+    test_connection gate(node.caller_address());
+    test_connection kept(node.caller_address());
+    kept.write(plain_request);
+    REQUIRE(has_status(kept.read_message(), 503));
+    gate.write("GET /gate HTTP/1.1\r\nHost: rota-board\r\n\r\n");
+    node.wait_for<request_arrived>(2);
+    kept.write(plain_request);
+    std::this_thread::sleep_for(2 * idle_timeout);
+    is_late.set_value();
+    CHECK(has_status(kept.read_message(), 503));
+}
+
 TEST_CASE("connections beyond the limit are refused with a response")
 {
     driven_node node(refuse_all,
