Judge the size of a request by the limits that it was read with

A request whose reading began before the operators' limits were known, and ended after, was answered 413 or 431 by limits that were the node's own. The target in absolute form of a request for whose body there was no room was taken for an unreadable head, so that the 503 named no request.

The last case has no test.

--- a/src/drivers/internal/request_reader.cpp
+++ b/src/drivers/internal/request_reader.cpp
@@ -86,11 +86,13 @@
 incoming_request copy_head(parser const& source)
 {
     auto const& message = source.get();
-    return {std::string(message.method_string()),
-            std::string(message.target()),
-            source.headers,
-            {},
-            false};
+    incoming_request head{std::string(message.method_string()),
+                          std::string(message.target()),
+                          source.headers,
+                          {},
+                          false};
+    use_origin_form(head);
+    return head;
 }
 
 // Removes the empty lines before a request line (RFC 9112, section 2.2).
@@ -117,6 +119,12 @@
     return boost::beast::iequals(expectation, "100-continue");
 }
 
+bool is_over_limit(read_failure failure)
+{
+    return failure == read_failure::header_too_large ||
+           failure == read_failure::body_too_large;
+}
+
 } // namespace
 
 std::string_view to_string(read_failure failure)
@@ -141,6 +149,8 @@
         return "body-too-slow";
     case read_failure::no_room_for_body:
         return "no-room-for-body";
+    case read_failure::limits_unknown:
+        return "limits-unknown";
     }
     return "malformed";
 }
@@ -181,8 +191,14 @@
             co_return read_failure::idle;
         }
     }
+    bool const is_provisional = this->limits.is_provisional;
     auto message = co_await this->read_message();
     this->guard.disarm();
+    auto const* const failure = std::get_if<read_failure>(&message);
+    if (is_provisional && failure != nullptr && is_over_limit(*failure))
+    {
+        co_return read_failure::limits_unknown;
+    }
     co_return message;
 }
 
--- a/src/drivers/internal/request_reader.hpp
+++ b/src/drivers/internal/request_reader.hpp
@@ -46,7 +46,10 @@
     header_too_slow,
     body_too_slow,
     // The bodies that the node holds leave no room for this one.
-    no_room_for_body
+    no_room_for_body,
+    // The request exceeds the limits that applied before the operators' limits
+    // were known.
+    limits_unknown
 };
 
 // Returns the name used in metrics and logs.
--- a/src/drivers/internal/session.cpp
+++ b/src/drivers/internal/session.cpp
@@ -56,8 +56,7 @@
 
 // Creates the refusal for a request that could not be read; nothing if the
 // connection has ended.
-std::optional<refused_answer> refusal_for(read_failure failure,
-                                          read_limits const& limits)
+std::optional<refused_answer> refusal_for(read_failure failure)
 {
     switch (failure)
     {
@@ -65,18 +64,10 @@
         return refuse_input(
             bad_request, refusal::bad_request, "the request is malformed");
     case read_failure::header_too_large:
-        if (limits.is_provisional)
-        {
-            return refuse_until_configured();
-        }
         return refuse_input(header_fields_too_large,
                             refusal::too_large,
                             "the request's headers are too large");
     case read_failure::body_too_large:
-        if (limits.is_provisional)
-        {
-            return refuse_until_configured();
-        }
         return refuse_input(content_too_large,
                             refusal::too_large,
                             "the request's body is too large");
@@ -97,6 +88,8 @@
         refused.report.retry_after = body_retry_delay;
         return refused;
     }
+    case read_failure::limits_unknown:
+        return refuse_until_configured();
     case read_failure::closed:
     case read_failure::idle:
     case read_failure::incomplete:
@@ -444,7 +437,7 @@
     {
         return;
     }
-    auto refused = refusal_for(failure, this->services.limits);
+    auto refused = refusal_for(failure);
     this->note_refused_input(to_string(failure),
                              refused ? refused->detail : "no answer");
     if (!refused)
