--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import json
+import logging
 import os
 import random
 import shutil
@@ -504,6 +505,8 @@
 def main(case, folder):
     """Runs `case(record, temporary folder)`, which returns the lines that state
     the broken rule (none: it held). Exits as the issue says."""
+    # The library reports processes that it has not reaped itself.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     temporary = tempfile.mkdtemp(prefix="review-")
     record = Record(os.path.join(folder, "record.txt"))
     try:
