--- a/review/lib-2/deployment.py
+++ b/review/lib-2/deployment.py
@@ -380,9 +380,10 @@
 
 
 def free_ports(host, count):
-    """First of `count` consecutive free ports."""
+    """First of `count` consecutive free ports, below those that the kernel gives
+    to outgoing connections."""
     while True:
-        first = random.randrange(20000, 60000 - count)
+        first = random.randrange(12000, 32000 - count)
         sockets = []
         try:
             for port in range(first, first + count):
