--- a/review/6/case.py
+++ b/review/6/case.py
@@ -10,7 +10,8 @@
 from deployment import *  # noqa: E402,F403
 
 HOST = "svc.example"
-MACHINES = int(os.environ.get("MACHINES", "18"))
+ZONES = ["zone-a", "zone-b", "zone-c"]
+MACHINES = int(os.environ.get("MACHINES", "54"))
 RECOVER_S = 15
 STABLE_S = 3
 
@@ -24,12 +25,12 @@
         self.record = record
         self.node = None
         self.beats = None
-        self.place = (folder, f"side-{number}", service, store)
+        zone = ZONES[number % len(ZONES)]
+        self.place = (folder, f"side-{number}", self.host, service, store, zone)
 
     async def start(self):
-        folder, name, service, store = self.place
         await self.worker.start(self.host)
-        self.node = Node(self.record, folder, name, self.host, service, store)
+        self.node = Node(self.record, *self.place)
         await self.node.start()
         self.beats = asyncio.create_task(self.worker.beat_forever(self.node.control))
 
