An answer whose upload met a reset is incomplete

The kernel reports a reset once, to the first call that meets it. While an upload waits for room the event loop resumes the write before the read, so the write took the report, and the read found an ordinary end, which is what delimits such a body. The error of the write was not looked at.

An answer that only the end of the connection delimits is now incomplete if its write met a failure of the connection. It works for every order of part, reset and reading, since the report reaches either the read, which fails as before, or the write, whose result is awaited before the answer counts. A broken pipe is no such failure: the kernel reports it if the other side had ended in order.

--- a/src/drivers/internal/http_client.cpp
+++ b/src/drivers/internal/http_client.cpp
@@ -157,6 +157,18 @@
     }
 }
 
+// Returns true if the write met a reset or another failure of the connection.
+// The kernel reports such a failure once; if the write has taken the report, a
+// read finds the end of the connection instead. A broken pipe is no such
+// failure: the other side had ended its sending direction before. Neither is
+// the end that abort_write() makes.
+bool has_broken_connection(pending_write const& sent)
+{
+    return sent.ec && sent.ec != asio::error::operation_aborted &&
+           sent.ec != asio::error::bad_descriptor &&
+           sent.ec != asio::error::broken_pipe;
+}
+
 enum class answer_match
 {
     // The response names the request, or none is expected to.
@@ -315,17 +327,22 @@
                           sent->written = count;
                           sent->completed.cancel();
                       });
+    framing framed;
     auto result =
-        co_await this->read_answer(connection, request, control, is_reusable);
+        co_await this->read_answer(connection, request, control, framed);
     bool const is_write_done = sent->is_done;
     if (!is_write_done)
     {
         co_await abort_write(connection.socket, *sent);
     }
-    is_reusable = is_reusable && is_write_done && !sent->ec;
+    is_reusable = framed.is_reusable && is_write_done && !sent->ec;
     auto* const failure = std::get_if<call_failure>(&result);
     if (failure == nullptr)
     {
+        if (framed.is_close_delimited && has_broken_connection(*sent))
+        {
+            co_return call_failure{attempt_failure::incomplete_answer, true};
+        }
         co_return result;
     }
     // The kernel reports its time-out once, to either direction.
@@ -346,15 +363,15 @@
 http_client::read_answer(pooled_connection& connection,
                          outgoing_request const& request,
                          call_control& control,
-                         bool& is_reusable)
+                         framing& framed)
 {
     bool const is_head = request.method == "HEAD";
     bool has_skipped_late_answer = false;
     while (true)
     {
-        bool is_keep_alive = false;
-        auto result = co_await this->read_next_answer(
-            connection, is_head, control, is_keep_alive);
+        framing read;
+        auto result =
+            co_await this->read_next_answer(connection, is_head, control, read);
         if (auto* const failure = std::get_if<call_failure>(&result);
             failure != nullptr && has_skipped_late_answer &&
             connection.guard.is_expired())
@@ -371,10 +388,11 @@
         }
         if (matched != answer_match::other)
         {
-            is_reusable = is_keep_alive && !has_skipped_late_answer;
+            framed = read;
+            framed.is_reusable = read.is_reusable && !has_skipped_late_answer;
             co_return result;
         }
-        if (!is_keep_alive)
+        if (!read.is_reusable)
         {
             co_return call_failure{attempt_failure::closed_after_write, true};
         }
@@ -387,7 +405,7 @@
 http_client::read_next_answer(pooled_connection& connection,
                               bool is_head,
                               call_control& control,
-                              bool& is_keep_alive)
+                              framing& framed)
 {
     std::optional<parser> source;
     error_code ec;
@@ -446,7 +464,7 @@
             is_silent(connection, ec, has_begun || interim_answers > 0);
         co_return failure;
     }
-    is_keep_alive = source->keep_alive();
+    framed = {source->keep_alive(), source->need_eof()};
     co_return to_answer(*source, is_head);
 }
 
--- a/src/drivers/internal/http_client.hpp
+++ b/src/drivers/internal/http_client.hpp
@@ -66,6 +66,14 @@
     connection_pool& pool;
     limits config;
 
+    // What a response says about its connection.
+    struct framing
+    {
+        bool is_reusable = false;
+        // True if only the end of the connection delimits the body.
+        bool is_close_delimited = false;
+    };
+
     asio::awaitable<call_result> exchange(pooled_connection& connection,
                                           outgoing_request const& request,
                                           call_control& control,
@@ -76,11 +84,11 @@
     asio::awaitable<call_result> read_answer(pooled_connection& connection,
                                              outgoing_request const& request,
                                              call_control& control,
-                                             bool& is_reusable);
+                                             framing& framed);
     asio::awaitable<call_result> read_next_answer(pooled_connection& connection,
                                                   bool is_head,
                                                   call_control& control,
-                                                  bool& is_keep_alive);
+                                                  framing& framed);
 };
 
 } // namespace plantaintally::drivers
--- a/src/drivers/tests/client_fixture.hpp
+++ b/src/drivers/tests/client_fixture.hpp
@@ -56,10 +56,16 @@
     // Sends a request with this id, which the response has to name.
     call_result call_with_id(std::string const& address, std::string const& id)
     {
-        this->expected_answer_header = {"Request-Id", id};
+        this->expect_answer_to(id);
         return this->call(address, id);
     }
 
+    // The responses to later calls have to name this request.
+    void expect_answer_to(std::string const& id)
+    {
+        this->expected_answer_header = {"Request-Id", id};
+    }
+
     void start(std::vector<call_result>& results,
                std::string address,
                std::string body,
--- a/src/drivers/tests/scripted_server.cpp
+++ b/src/drivers/tests/scripted_server.cpp
@@ -68,11 +68,17 @@
 test_connection::test_connection(std::string const& address) : socket(this->io)
 {
     auto const parsed = settings::parse_endpoint(address);
-    error_code ignored;
-    this->socket.connect(loopback(parsed.value().port), ignored);
+    error_code ec;
+    this->socket.connect(loopback(parsed.value().port), ec);
+    this->is_connected = !ec;
     set_hang_limit(this->socket);
 }
 
+bool test_connection::is_open() const
+{
+    return this->is_connected;
+}
+
 bool test_connection::write(std::string_view text)
 {
     error_code ec;
@@ -93,31 +99,48 @@
     return true;
 }
 
-std::string test_connection::read_message()
+std::string test_connection::read_head()
 {
-    std::size_t head = std::string::npos;
-    while ((head = this->unread.find("\r\n\r\n")) == std::string::npos)
+    constexpr std::string_view head_end = "\r\n\r\n";
+    std::size_t end = std::string::npos;
+    while ((end = this->unread.find(head_end)) == std::string::npos)
     {
         if (!this->read_more())
         {
             return {};
         }
     }
-    auto const length = header_of(this->unread, "Content-Length");
-    auto const body = length.empty() ? 0 : std::stoul(length);
-    auto const message_bytes = head + 4 + body;
-    while (this->unread.size() < message_bytes)
+    auto const head_bytes = end + head_end.size();
+    auto head = this->unread.substr(0, head_bytes);
+    this->unread.erase(0, head_bytes);
+    return head;
+}
+
+std::string test_connection::read_body_of(std::string const& head)
+{
+    if (head.empty())
+    {
+        return {};
+    }
+    auto const length = header_of(head, "Content-Length");
+    auto const body_bytes = length.empty() ? 0 : std::stoul(length);
+    while (this->unread.size() < body_bytes)
     {
         if (!this->read_more())
         {
             return {};
         }
     }
-    auto message = this->unread.substr(0, message_bytes);
-    this->unread.erase(0, message_bytes);
+    auto message = head + this->unread.substr(0, body_bytes);
+    this->unread.erase(0, body_bytes);
     return message;
 }
 
+std::string test_connection::read_message()
+{
+    return this->read_body_of(this->read_head());
+}
+
 std::string test_connection::read_all()
 {
     while (this->read_more())
@@ -126,6 +149,12 @@
     return std::move(this->unread);
 }
 
+void test_connection::end_sending()
+{
+    error_code ignored;
+    this->socket.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
 void test_connection::close()
 {
     error_code ignored;
--- a/src/drivers/tests/scripted_server.hpp
+++ b/src/drivers/tests/scripted_server.hpp
@@ -27,13 +27,23 @@
     // Connects to host:port. If that fails, all later calls fail too.
     explicit test_connection(std::string const& address);
 
+    // False if the connection could not be opened.
+    [[nodiscard]] bool is_open() const;
     // Returns false if the other side has closed the connection.
     bool write(std::string_view text);
     // Reads a message's head and the body that its Content-Length states; empty
     // if the other side closes the connection first.
     std::string read_message();
+    // Reads a message's head and leaves its body; empty if the other side
+    // closes the connection first.
+    std::string read_head();
+    // Reads the body that the Content-Length of this head states, and returns
+    // the whole message; empty if the other side closes the connection first.
+    std::string read_body_of(std::string const& head);
     // Reads until the other side closes the connection.
     std::string read_all();
+    // Ends the sending direction; the other side can go on sending.
+    void end_sending();
     void close();
     // Closes the connection with a TCP reset.
     void reset();
@@ -42,6 +52,7 @@
     boost::asio::io_context io;
     boost::asio::ip::tcp::socket socket;
     std::string unread;
+    bool is_connected = true;
 
     bool read_more();
 };
