Refuse answers with a status outside of the classes

Callers waited for their deadline when a worker answered with the status 000, and got what came after it on the connection as the answer: a second answer that named the request, or bytes of the first one's body. A status from 600 on was passed on as a failure of the worker. The operators' tool and the clients of the stand-ins took such answers for whole ones.

The library's parser accepts any three digits, and http_client took every status below 200 for an interim answer without a body.

All clients now read with one parser, responses::response_parser, which refuses such a status as it does any other malformed head. The request may have run and ends at once, and the connection is not used again.

Evidence: failed before, with 000, 001, 099, 600 and 999: drivers_test, "a response with a status outside of the classes is malformed"; platform_test, "a client never gets an answer with a status outside of the classes" (two daemons, each request given to the worker once); the tests of the same name in operator_tool_test and standin_lib_test.

--- a/src/drivers/internal/http_client.cpp
+++ b/src/drivers/internal/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "drivers/dialect.hpp"
 #include "drivers/internal/read_piece.hpp"
+#include "responses/response_parser.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -20,7 +21,7 @@
 {
 
 namespace http = boost::beast::http;
-using parser = http::response_parser<http::string_body>;
+using responses::response_parser;
 using request_message = http::request<http::span_body<char const>>;
 
 constexpr unsigned http_version_1_1 = 11;
@@ -108,7 +109,7 @@
     return {otherwise, is_written};
 }
 
-answer to_answer(parser& source, bool is_head)
+answer to_answer(response_parser& source, bool is_head)
 {
     auto message = source.release();
     answer full_answer{message.result_int(), {}, std::move(message.body()), {}};
@@ -407,7 +408,7 @@
                               call_control& control,
                               framing& framed)
 {
-    std::optional<parser> source;
+    std::optional<response_parser> source;
     error_code ec;
     std::size_t interim_answers = 0;
     bool is_interim = true;
--- a/src/operator_tool/internal/client.cpp
+++ b/src/operator_tool/internal/client.cpp
@@ -1,5 +1,7 @@
 #include "operator_tool/client.hpp"
 
+#include "responses/response_parser.hpp"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -156,7 +158,7 @@
     asio::io_context io;
     beast::tcp_stream stream;
     http::request<http::string_body> request;
-    http::response_parser<http::string_body> parser;
+    responses::response_parser parser;
     beast::flat_buffer buffer;
     boost::system::error_code last_error;
     bool is_connected = false;
--- a/src/standin/internal/http_client.cpp
+++ b/src/standin/internal/http_client.cpp
@@ -1,10 +1,11 @@
 #include "standin/internal/http_client.hpp"
 
+#include "responses/response_parser.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/error.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
@@ -96,7 +97,7 @@
         co_return fail(code, write_failure.message());
     }
     beast::flat_buffer buffer;
-    http::response_parser<http::string_body> parser;
+    responses::response_parser parser;
     parser.body_limit(answer_limit_bytes);
     auto const [read_failure, read] =
         co_await http::async_read(connection, buffer, parser, as_result);
