--- a/src/drivers/tests/malformed_answer_test.cpp
+++ b/src/drivers/tests/malformed_answer_test.cpp
@@ -36,6 +36,38 @@
     return result;
 }
 
+std::string head_with(std::string const& line)
+{
+    return "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n" + line +
+           "\r\nContent-Length: 4\r\n\r\n";
+}
+
+// The bytes that must not be part of a field's name: white space and control
+// bytes.
+std::string blanks_and_controls()
+{
+    constexpr char delete_byte = 0x7f;
+    std::string bytes;
+    for (char byte = 0; byte <= ' '; ++byte)
+    {
+        bytes += byte;
+    }
+    return bytes + delete_byte;
+}
+
+// Returns this field line with one byte inserted at each place of its name.
+std::vector<std::string> lines_with(char byte, std::string const& line)
+{
+    std::vector<std::string> lines;
+    for (std::size_t place :
+         {std::size_t{0}, line.find(':') / 2, line.find(':')})
+    {
+        lines.push_back(line);
+        lines.back().insert(place, 1, byte);
+    }
+    return lines;
+}
+
 } // namespace
 
 TEST_CASE("a response with a status outside of the classes is malformed")
@@ -63,3 +95,54 @@
         }
     }
 }
+
+TEST_CASE("a response with a blank or control byte in a field's name is "
+          "malformed")
+{
+    for (char const byte : blanks_and_controls())
+    {
+        for (std::string const field : {"X-Note: 1", "Content-Length: 2"})
+        {
+            for (std::string const& line : lines_with(byte, field))
+            {
+                INFO(static_cast<int>(byte) << " in " << line);
+                auto const failed =
+                    failure_in(receive({head_with(line) + "done"}));
+                CHECK(failed.failure == attempt_failure::malformed_answer);
+                CHECK(failed.is_written);
+            }
+        }
+    }
+}
+
+TEST_CASE("a response with a continued field line is malformed")
+{
+    // A line that begins with a blank continues the field before it (RFC 9112,
+    // section 5.2), whatever it looks like.
+    std::string const start = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n";
+    for (std::string const line : {"X-Note: 1\r\n Content-Length: 4",
+                                   "X-Note: 1\r\n\tContent-Length: 4",
+                                   "X-Note:\r\n Content-Length: 4",
+                                   "X-Note:\r\n\t\r\n Content-Length: 4",
+                                   "X-Note: 1\r\n  \r\nContent-Length: 4",
+                                   "Content-Length:\r\n 4",
+                                   "Transfer-Encoding:\r\n chunked"})
+    {
+        std::string const text =
+            start + line + "\r\n\r\n4\r\ndone\r\n0\r\n\r\n";
+        INFO(line);
+        CHECK(failure_in(receive({text})).failure ==
+              attempt_failure::malformed_answer);
+        // Cut within the line and behind it.
+        for (std::size_t const cut :
+             {start.size() + 9, start.size() + line.size() + 2})
+        {
+            CHECK(failure_in(receive({text.substr(0, cut), text.substr(cut)}))
+                      .failure == attempt_failure::malformed_answer);
+        }
+    }
+    // White space around a value is no continuation.
+    CHECK(body_text(
+              receive({start + "X-Note: \t 1 2 \t\r\nX-Empty: \r\nX-None:\r\n"
+                               "Content-Length:4\r\n\r\ndone"})) == "done");
+}
