Drop the trailers of answers

Callers got the trailers of a chunked answer as headers; a trailer could also name the request, or state that it was not run, in the place of the head.

The library adds trailers to the headers. The reader of requests keeps them apart, the clients did not. The parser that they share now drops every field that comes after the head; a malformed one still makes the answer malformed.

Evidence: drivers_test, "the trailers of a response are no headers", failed before.

--- a/src/drivers/tests/malformed_answer_test.cpp
+++ b/src/drivers/tests/malformed_answer_test.cpp
@@ -1,5 +1,6 @@
 // Responses that the HTTP library reads but that no client may use.
 #include "client_fixture.hpp"
+#include "drivers/dialect.hpp"
 
 #include <string>
 #include <thread>
@@ -146,3 +147,22 @@
               receive({start + "X-Note: \t 1 2 \t\r\nX-Empty: \r\nX-None:\r\n"
                                "Content-Length:4\r\n\r\ndone"})) == "done");
 }
+
+TEST_CASE("the trailers of a response are no headers")
+{
+    std::string const start = "HTTP/1.1 200 OK\r\nRequest-Id: 1\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "4\r\ndone\r\n0\r\n";
+    auto const result = receive({start + "X-Note: 1\r\n\r\n"});
+    CHECK(body_text(result) == "done");
+    auto const* const received = std::get_if<answer>(&result);
+    REQUIRE(received != nullptr);
+    CHECK(find_header(received->headers, "X-Note").empty());
+    CHECK(find_header(received->headers, "Request-Id") == "1");
+    for (std::string const trailer : {"X Note: 1", "X-Note: 1\r\n X-Other: 2"})
+    {
+        INFO(trailer);
+        CHECK(failure_in(receive({start + trailer + "\r\n\r\n"})).failure ==
+              attempt_failure::malformed_answer);
+    }
+}
--- a/src/responses/internal/response_parser.cpp
+++ b/src/responses/internal/response_parser.cpp
@@ -45,7 +45,11 @@
         ec = http::error::bad_field;
         return;
     }
-    this->get().insert(name, name_text, value);
+    bool const is_trailer = this->is_header_done();
+    if (!is_trailer)
+    {
+        this->get().insert(name, name_text, value);
+    }
 }
 
 void response_parser::on_header_impl(error_code& ec)
--- a/src/responses/response_parser.hpp
+++ b/src/responses/response_parser.hpp
@@ -11,7 +11,8 @@
 
 // Refuses a status outside of the classes 1xx to 5xx (RFC 9110, section 15) and
 // a field line that continues on the next one (RFC 9112, section 5.2): what was
-// sent as a field of its own would become a part of the value before it.
+// sent as a field of its own would become a part of the value before it. Drops
+// trailers, which are no headers (RFC 9110, section 6.5.1).
 class response_parser : public boost::beast::http::response_parser<
                             boost::beast::http::string_body>
 {
