Limit the memory of all answers that are being read

A faulty worker that answers with a body without end on all its slots made the node beside it run out of memory, and the requests of other clients on that machine ended with it (LOST).

Each answer had a limit and a deadline, but their sum had none until an answer was whole.

admission::answer_budget counts answers while they are read together with those that are kept, against limits.max_retained_bytes. Beyond it, reading is broken off for the largest answer of the sender that holds most, so that a faulty sender does not cost the answers of others, nor its own short ones; such a request ends as one that may have run. An answer that comes in one piece is not registered.

--- a/src/drivers/internal/attempts.cpp
+++ b/src/drivers/internal/attempts.cpp
@@ -147,7 +147,7 @@
     {
         return;
     }
-    this->retained_bytes -= size_of(*found->second);
+    this->dependencies.retained->release(size_of(*found->second));
     this->answers.erase(found);
     this->publish_retained_metrics();
 }
@@ -242,11 +242,10 @@
 bool attempts::retain(attempt_id id, bool is_peer, answer full_answer)
 {
     auto const bytes = size_of(full_answer);
-    if (this->retained_bytes + bytes > this->dependencies.max_retained_bytes)
+    if (!this->dependencies.retained->keep(bytes))
     {
         return false;
     }
-    this->retained_bytes += bytes;
     full_answer.headers =
         is_peer ? without_report(full_answer.headers)
                 : this->dependencies.external_dialect.forwarded_answer_headers(
@@ -254,7 +253,7 @@
     auto const kept = std::make_shared<answer const>(std::move(full_answer));
     // Counts the retained headers only, so that release() subtracts the same
     // amount.
-    this->retained_bytes -= bytes - size_of(*kept);
+    this->dependencies.retained->release(bytes - size_of(*kept));
     this->answers.insert_or_assign(id, kept);
     this->publish_retained_metrics();
     return true;
@@ -263,7 +262,8 @@
 void attempts::publish_retained_metrics()
 {
     this->dependencies.driver_metrics.set(
-        {"retained_answer_bytes"}, static_cast<double>(this->retained_bytes));
+        {"retained_answer_bytes"},
+        static_cast<double>(this->dependencies.retained->kept_bytes()));
     this->dependencies.driver_metrics.set(
         {"retained_answers"}, static_cast<double>(this->answers.size()));
 }
--- a/src/drivers/internal/attempts.hpp
+++ b/src/drivers/internal/attempts.hpp
@@ -3,6 +3,7 @@
 // releases them.
 #pragma once
 
+#include "admission/answer_budget.hpp"
 #include "drivers/dialect.hpp"
 #include "drivers/internal/exchange_table.hpp"
 #include "drivers/internal/http_client.hpp"
@@ -11,6 +12,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <unordered_map>
 
@@ -29,7 +31,7 @@
         http_client& upstream;
         dialect const& external_dialect;
         std::function<void(event)> submit_event;
-        std::uint64_t max_retained_bytes = 0;
+        std::shared_ptr<admission::answer_budget> retained;
     };
 
     explicit attempts(services required);
@@ -46,7 +48,6 @@
     services dependencies;
     std::unordered_map<attempt_id, call_control> running;
     std::unordered_map<attempt_id, answer_ptr> answers;
-    std::uint64_t retained_bytes = 0;
 
     asio::awaitable<void> run(attempt_id id,
                               http_client& client,
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -42,6 +42,8 @@
       external_dialect(std::move(outer_dialect)), tasks(executor),
       held_bodies(std::make_shared<admission::body_budget>(
           admission::body_budget{new_config.limits.max_held_body_bytes, 0})),
+      answers(std::make_shared<admission::answer_budget>(
+          new_config.limits.max_retained_bytes)),
       exchanges(executor),
       peer_pool(this->tasks,
                 this->driver_metrics,
@@ -66,7 +68,7 @@
                          this->upstream_client,
                          this->external_dialect,
                          this->event_sink(),
-                         new_config.limits.max_retained_bytes}),
+                         this->answers}),
       platform({this->tasks,
                 this->driver_metrics,
                 this->store_http_client,
@@ -280,6 +282,11 @@
     this->driver_metrics.set(
         {"held_body_bytes"},
         static_cast<double>(this->held_bodies->held_bytes));
+    this->driver_metrics.set({"answer_bytes_being_read"},
+                             static_cast<double>(this->answers->read_bytes()));
+    this->driver_metrics.set(
+        {"answers_broken_off_total"},
+        static_cast<double>(this->answers->broken_off_count()));
     this->driver_metrics.set({"exchanges_open"},
                              static_cast<double>(this->exchanges.size()));
     this->driver_metrics.set(
--- a/src/drivers/internal/engine.hpp
+++ b/src/drivers/internal/engine.hpp
@@ -87,6 +87,7 @@
     task_scope tasks;
     trace_recorder recorder;
     std::shared_ptr<admission::body_budget> held_bodies;
+    std::shared_ptr<admission::answer_budget> answers;
     exchange_table exchanges;
     connection_pool peer_pool;
     connection_pool upstream_pool;
--- a/src/drivers/internal/engine_parts.cpp
+++ b/src/drivers/internal/engine_parts.cpp
@@ -61,7 +61,8 @@
 {
     return {this->config.limits.max_header_bytes,
             this->config.limits.max_answer_bytes,
-            allows_close_delimited_answers};
+            allows_close_delimited_answers,
+            this->answers};
 }
 
 http_client::limits engine::peer_client_limits() const
--- a/src/drivers/internal/http_client.cpp
+++ b/src/drivers/internal/http_client.cpp
@@ -2,7 +2,6 @@
 
 #include "drivers/dialect.hpp"
 #include "drivers/internal/read_piece.hpp"
-#include "responses/response_parser.hpp"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -125,6 +124,16 @@
     return full_answer;
 }
 
+// Bytes that a response's body takes up while it is read. The space for a
+// declared body is reserved at once and used as it fills. Any other body is
+// copied to a larger space as it grows.
+std::size_t memory_of(response_parser const& source)
+{
+    auto const& body = source.get().body();
+    return source.content_length() ? body.size()
+                                   : body.size() + body.capacity();
+}
+
 // A request that is being written; the write operation shares its ownership.
 struct pending_write
 {
@@ -245,7 +254,7 @@
 }
 
 http_client::http_client(connection_pool& connections, limits bounds)
-    : pool(connections), config(bounds)
+    : pool(connections), config(std::move(bounds))
 {
 }
 
@@ -449,13 +458,9 @@
     {
         co_return call_failure{attempt_failure::incomplete_answer, true};
     }
-    while (!ec && !source->is_done())
+    if (!ec && !source->is_done())
     {
-        co_await read_piece(connection.socket,
-                            connection.guard,
-                            connection.buffer,
-                            *source,
-                            ec);
+        ec = co_await this->read_body(connection, *source);
     }
     if (ec)
     {
@@ -469,4 +474,29 @@
     co_return to_answer(*source, is_head);
 }
 
+asio::awaitable<error_code>
+http_client::read_body(pooled_connection& connection, response_parser& source)
+{
+    auto const break_off = [&connection]
+    {
+        error_code ignored;
+        connection.socket.close(ignored);
+    };
+    admission::answer_reading reading(
+        this->config.answers, connection.address, break_off);
+    error_code ec;
+    while (!ec && !source.is_done())
+    {
+        co_await read_piece(
+            connection.socket, connection.guard, connection.buffer, source, ec);
+        bool const has_room =
+            reading.grow_to(memory_of(source) + connection.buffer.capacity());
+        if (!ec && !has_room)
+        {
+            ec = make_error_code(boost::system::errc::not_enough_memory);
+        }
+    }
+    co_return ec;
+}
+
 } // namespace plantaintally::drivers
--- a/src/drivers/internal/http_client.hpp
+++ b/src/drivers/internal/http_client.hpp
@@ -1,11 +1,14 @@
 // HTTP client that sends each request once over pooled connections.
 #pragma once
 
+#include "admission/answer_budget.hpp"
 #include "drivers/http.hpp"
 #include "drivers/internal/connection_pool.hpp"
 #include "messages/request_types.hpp"
+#include "responses/response_parser.hpp"
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <variant>
 
@@ -49,6 +52,9 @@
         std::uint64_t max_answer_bytes = 0;
         // True if the end of the connection may delimit a response's body.
         bool allows_close_delimited = false;
+        // Shared by all clients of the node; null if answers are not limited in
+        // sum.
+        std::shared_ptr<admission::answer_budget> answers = {};
     };
 
     http_client(connection_pool& connections, limits bounds);
@@ -89,6 +95,9 @@
                                                   bool is_head,
                                                   call_control& control,
                                                   framing& framed);
+    // Reads the rest of a response's body while there is memory for it.
+    asio::awaitable<error_code> read_body(pooled_connection& connection,
+                                          responses::response_parser& source);
 };
 
 } // namespace plantaintally::drivers
--- a/src/drivers/tests/client_fixture.hpp
+++ b/src/drivers/tests/client_fixture.hpp
@@ -33,12 +33,17 @@
         this->tasks,
         this->driver_metrics,
         {"upstream", 2, 64U << 10U, std::chrono::seconds(60), ample_timeout}};
+    std::shared_ptr<admission::answer_budget> answers;
     http_client client;
     // True if the write of the last call had ended when the call did.
     bool is_write_finished = false;
 
-    explicit client_fixture(bool allows_close_delimited = false)
-        : client(this->pool, {4096, 100'000, allows_close_delimited})
+    explicit client_fixture(bool allows_close_delimited = false,
+                            std::uint64_t max_bytes_of_answers = 1U << 30U)
+        : answers(
+              std::make_shared<admission::answer_budget>(max_bytes_of_answers)),
+          client(this->pool,
+                 {4096, 100'000, allows_close_delimited, this->answers})
     {
         this->tasks.set_owner(this->owner);
     }
--- a/src/drivers/tests/malformed_answer_test.cpp
+++ b/src/drivers/tests/malformed_answer_test.cpp
@@ -73,6 +73,7 @@
 
 TEST_CASE("a response with a status outside of the classes is malformed")
 {
+    std::string const empty_body = "Content-Length: 0\r\n\r\n";
     std::string const next = named_answer(200, "1");
     for (std::string const status : {"000", "001", "099", "600", "999"})
     {
@@ -80,14 +81,15 @@
             "HTTP/1.1 " + status + " X\r\nRequest-Id: 1\r\n";
         for (auto const& pieces : std::vector<std::vector<std::string>>{
                  {start + "Content-Length: 4\r\n\r\ndone"},
-                 {start + "Content-Length: 0\r\n\r\n"},
+                 {start + empty_body},
                  {start + "\r\n"},
                  {start + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
                  // A body, or a second response, that looks like an answer.
                  {start + "Content-Length: " + std::to_string(next.size()) +
                       "\r\n\r\n",
                   next},
-                 {start + "Content-Length: 0\r\n\r\n" + next}})
+                 {start + empty_body, next},
+                 {std::string(start).append(empty_body).append(next)}})
         {
             INFO(pieces.front());
             auto const failed = failure_in(receive(pieces));
