Broken answers: every place that reads answers, and tests that held before

New tests for what was handled already: a reset and bytes without end at the operators' tool and the stand-ins' clients, and a control message beyond its limit.

--- a/src/drivers/tests/answer_readers_test.cpp
+++ b/src/drivers/tests/answer_readers_test.cpp
@@ -1,6 +1,7 @@
 // Broken answers at every client of a node: of the upstream, of other nodes, of
-// the store and of the upstream's health endpoint.
+// the store and of the upstream's health endpoint; and at its control link.
 #include "driven_node.hpp"
+#include "drivers/internal/control_link.hpp"
 
 #include "codec/hop_headers.hpp"
 
@@ -8,6 +9,7 @@
 
 #include <atomic>
 #include <string>
+#include <string_view>
 #include <vector>
 
 using namespace plantaintally;
@@ -176,3 +178,22 @@
     CHECK(answered == texts.size() + 1);
     CHECK(node.count<health_hint>() == 1);
 }
+
+TEST_CASE("a control message beyond the limit ends its link")
+{
+    using namespace std::string_view_literals;
+    driven_node node(refuse_all);
+    auto const address = control_endpoint(node.peer_address());
+    test_connection link(settings::to_string(address.value()));
+    // The greeting of a sender, then the length of a message of 1 TB.
+    constexpr auto greeting = "\0SP\0\0\x50\0\0"sv;
+    constexpr auto length = "\0\0\1\0\0\0\0\0"sv;
+    link.write(greeting);
+    link.write(length);
+    std::string const bytes(64U << 10U, 'x');
+    while (link.write(bytes))
+    {
+    }
+    CHECK(node.metric(R"(control_malformed_total{reason="too-large"})") == "1");
+    CHECK(node.count<control_received>() == 0);
+}
--- a/src/operator_tool/tests/client_test.cpp
+++ b/src/operator_tool/tests/client_test.cpp
@@ -53,6 +53,20 @@
     CHECK(reply.value().message == "done");
 }
 
+TEST_CASE("a reply whose connection is reset is no reply")
+{
+    scripted_server node(
+        [](test_connection& connection, std::size_t)
+        {
+            connection.read_message();
+            connection.write("HTTP/1.1 200 OK\r\n\r\n" + reply_body);
+            connection.reset();
+        });
+    auto const reply = send_command(node.address(), "show work", reply_timeout);
+    REQUIRE_FALSE(reply);
+    CHECK(reply.error().code == errc::io_failure);
+}
+
 TEST_CASE("a reply with a status outside of the classes is malformed")
 {
     for (std::string const status : {"000", "099", "600"})
@@ -78,3 +92,16 @@
         CHECK(reply.error().code == errc::io_failure);
     }
 }
+
+TEST_CASE("a reply without end fails at its limit")
+{
+    std::string const bytes(64U << 10U, 'x');
+    for (std::string const start :
+         {"HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n"})
+    {
+        INFO(start);
+        auto const reply = send(start, bytes);
+        REQUIRE_FALSE(reply);
+        CHECK(reply.error().code == errc::io_failure);
+    }
+}
--- a/src/standin/tests/http_client_test.cpp
+++ b/src/standin/tests/http_client_test.cpp
@@ -21,9 +21,10 @@
 
 constexpr auto answer_timeout = std::chrono::seconds(5);
 
-boost::asio::awaitable<void> call(http_client& client,
-                                  std::string address,
-                                  std::optional<result<http_response>>& outcome)
+boost::asio::awaitable<void>
+run_call(http_client& client,
+         std::string address,
+         std::optional<result<http_response>>& outcome)
 {
     http_request request(boost::beast::http::verb::get, "/", 11);
     request.set(boost::beast::http::field::host, "desk");
@@ -31,12 +32,28 @@
         std::move(address), std::move(request), answer_timeout);
 }
 
+// Returns the outcome of a request for which the upstream runs this script.
+result<http_response> call(scripted_server::script answer)
+{
+    scripted_server upstream(std::move(answer));
+    boost::asio::io_context io;
+    http_client client(io.get_executor());
+    std::optional<result<http_response>> outcome;
+    boost::asio::co_spawn(io,
+                          run_call(client, upstream.address(), outcome),
+                          boost::asio::detached);
+    io.run();
+    client.clear();
+    REQUIRE(outcome);
+    return *outcome;
+}
+
 // Returns the outcome of a request that is answered with this text, after which
 // `repeated` follows without end unless it is empty.
 result<http_response> answer_with(std::string const& start,
                                   std::string const& repeated = {})
 {
-    scripted_server upstream(
+    return call(
         [&](test_connection& connection, std::size_t)
         {
             connection.read_message();
@@ -45,15 +62,6 @@
             {
             }
         });
-    boost::asio::io_context io;
-    http_client client(io.get_executor());
-    std::optional<result<http_response>> outcome;
-    boost::asio::co_spawn(
-        io, call(client, upstream.address(), outcome), boost::asio::detached);
-    io.run();
-    client.clear();
-    REQUIRE(outcome);
-    return *outcome;
 }
 
 } // namespace
@@ -66,6 +74,19 @@
     CHECK(outcome.value().body() == "done");
 }
 
+TEST_CASE("an answer whose connection is reset is no answer")
+{
+    auto const outcome = call(
+        [](test_connection& connection, std::size_t)
+        {
+            connection.read_message();
+            connection.write("HTTP/1.1 200 OK\r\n\r\ndone");
+            connection.reset();
+        });
+    REQUIRE_FALSE(outcome);
+    CHECK(outcome.error().code == errc::io_failure);
+}
+
 TEST_CASE("an answer with a status outside of the classes is malformed")
 {
     for (std::string const status : {"000", "099", "600"})
@@ -94,3 +115,16 @@
         CHECK(outcome.error().code == errc::io_failure);
     }
 }
+
+TEST_CASE("an answer without end fails at its limit")
+{
+    std::string const bytes(64U << 10U, 'x');
+    for (std::string const start :
+         {"HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\n\r\n"})
+    {
+        INFO(start);
+        auto const outcome = answer_with(start, bytes);
+        REQUIRE_FALSE(outcome);
+        CHECK(outcome.error().code == errc::io_failure);
+    }
+}
