--- a/src/drivers/tests/answer_readers_test.cpp
+++ b/src/drivers/tests/answer_readers_test.cpp
@@ -37,15 +37,18 @@
     std::string const length =
         "Content-Length: " + std::to_string(body.size()) + "\r\n";
     std::string const end = report_line() + length + "\r\n" + body;
-    return {"HTTP/1.1 000 X\r\n" + end,
-            "HTTP/1.1 600 X\r\n" + end,
-            "HTTP/1.1 200 OK\r\nX Note: 1\r\n" + end,
-            "HTTP/1.1 200 OK\r\nX\x01Note: 1\r\n" + end,
-            "HTTP/1.1 200 OK\r\nX-Note: 1\r\n X-Other: 2\r\n" + end,
-            "HTTP/1.1 200 OK\r\n" + report_line() + "X-Note: 1\r\n " + length +
-                "\r\n" + body,
-            // Only the end of the connection delimits the body.
-            "HTTP/1.1 200 OK\r\n" + report_line() + "\r\n" + body};
+    std::string const ok = "HTTP/1.1 200 OK\r\n";
+    std::vector<std::string> answers{
+        "HTTP/1.1 000 X\r\n" + end,
+        "HTTP/1.1 600 X\r\n" + end,
+        ok + report_line() + "X-Note: 1\r\n " + length + "\r\n" + body,
+        // Only the end of the connection delimits the body.
+        ok + report_line() + "\r\n" + body};
+    for (std::string const& line : malformed_field_lines())
+    {
+        answers.push_back(std::string(ok).append(line).append(end));
+    }
+    return answers;
 }
 
 // Writes the answer to one request and resets the connection.
--- a/src/drivers/tests/scripted_server.cpp
+++ b/src/drivers/tests/scripted_server.cpp
@@ -239,6 +239,15 @@
            "\r\n\r\n" + std::string(body);
 }
 
+std::vector<std::string> malformed_field_lines()
+{
+    return {"X Note: 1\r\n",
+            "X\x01Note: 1\r\n",
+            "X-Note : 1\r\n",
+            "X-Note: 1\r\n X-Other: 2\r\n",
+            "X-Note:\r\n\tX-Other: 2\r\n"};
+}
+
 std::uint16_t find_free_port_pair()
 {
     // Below the range from which the kernel takes ports for outgoing
--- a/src/drivers/tests/scripted_server.hpp
+++ b/src/drivers/tests/scripted_server.hpp
@@ -93,6 +93,10 @@
 // Returns a 200 response with this body.
 std::string ok_answer(std::string_view body);
 
+// Returns field lines of a head, with their ends, in which the name of a field
+// holds a blank or a control byte.
+std::vector<std::string> malformed_field_lines();
+
 // Returns the first of two consecutive TCP ports on loopback that were free at
 // the time of the call; 0 if there are none.
 std::uint16_t find_free_port_pair();
--- a/src/operator_tool/tests/client_test.cpp
+++ b/src/operator_tool/tests/client_test.cpp
@@ -80,11 +80,7 @@
 
 TEST_CASE("a reply with a blank or control byte in a field's name is malformed")
 {
-    for (std::string const line : {"X Note: 1\r\n",
-                                   "X\x01Note: 1\r\n",
-                                   "X-Note : 1\r\n",
-                                   "X-Note: 1\r\n X-Other: 2\r\n",
-                                   "X-Note:\r\n\tX-Other: 2\r\n"})
+    for (std::string const& line : drivers::malformed_field_lines())
     {
         INFO(line);
         auto const reply = send(reply_with("HTTP/1.1 200 OK", line));
