A fleet forms again after all its nodes were replaced

Nodes find each other by the contact lists in the store, 16 addresses a zone. A listed address lost its place only to a node that held it as gone itself, and a new process holds nobody as gone, so a list full of lost nodes stayed so. A newcomer also asked only three of the listed addresses, read the lists up to a minute after an outage of the store, and stopped looking once it knew anybody.

Whether a listed node runs is now found out by contact: one that has not answered in a second may be replaced, by a node that knows nobody one of them at most. A node contacts three more addresses each second until it has tried all, and has joined once it knows a member of each listed zone and its own zone has itself or three live nodes on its list. The first answer of the store to any call ends the wait of a node that has not joined. It works whatever the lists hold, since each node that is written to a list has contacted, or goes on to contact, all others on it.

--- a/src/membership/internal/contacts.cpp
+++ b/src/membership/internal/contacts.cpp
@@ -1,10 +1,12 @@
 #include "membership/internal/contacts.hpp"
 
 #include "membership/internal/anti_entropy.hpp"
+#include "membership/internal/contact_attempts.hpp"
 #include "membership/internal/view.hpp"
 #include "membership/membership.hpp"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace plantaintally::membership
@@ -16,16 +18,20 @@
 constexpr duration store_timeout = std::chrono::seconds(2);
 // Interval between reads of the contact lists once the node knows peers.
 constexpr duration read_interval = std::chrono::minutes(10);
-// First and longest delay between reads while the node knows no peer or the
-// store is unavailable.
+// First delay between reads while the node has not joined the fleet or the
+// store is unavailable, and the longest delay in either case.
 constexpr duration min_retry_delay = std::chrono::seconds(1);
-constexpr duration max_retry_delay = std::chrono::seconds(60);
+constexpr duration max_join_delay = std::chrono::seconds(8);
+constexpr duration max_outage_delay = std::chrono::seconds(60);
 constexpr double read_jitter = 0.5;
+// Nodes that could not join because the store was unavailable read the lists at
+// random times within this window after it has answered again.
+constexpr duration return_window = std::chrono::seconds(2);
 // Listed nodes check the lists at random times within this window after the
 // store has come back from an older copy.
 constexpr duration recheck_window = std::chrono::seconds(1);
-// Maximum number of listed addresses contacted after one read.
-constexpr std::size_t max_contacted_nodes = 3;
+// A zone's list needs this many live contacts.
+constexpr std::size_t min_live_contacts = max_contacted_nodes;
 
 void begin_call(state& membership,
                 store_purpose purpose,
@@ -74,38 +80,105 @@
         draw_jittered(current.random, base, read_jitter);
 }
 
-void schedule_retry(state& membership, step& current)
+void schedule_retry(state& membership, duration max_delay, step& current)
 {
     duration& delay = membership.contacts.retry_delay;
-    delay = std::clamp(delay * 2, min_retry_delay, max_retry_delay);
+    delay = std::clamp(delay * 2, min_retry_delay, max_delay);
     schedule_next(membership, delay, current);
 }
 
-// Starts comparing views with a few listed nodes that are not in the view.
-void contact_unknown_nodes(state& membership,
-                           std::vector<std::string> listed,
-                           step& current)
+void schedule_regular_read(state& membership, step& current)
 {
-    std::erase_if(listed,
-                  [&](std::string const& address)
-                  {
-                      return address ==
-                                 membership.startup_options.self.address ||
-                             find_member(membership, address) != nullptr;
-                  });
-    for (std::size_t count = 0; count < max_contacted_nodes && !listed.empty();
-         ++count)
+    membership.contacts.retry_delay = {};
+    schedule_next(membership, read_interval, current);
+}
+
+void read_within(state& membership, duration window, step& current)
+{
+    instant const due =
+        current.now.monotonic + std::chrono::duration_cast<duration>(
+                                    window * draw_fraction(current.random));
+    membership.contacts.next_read =
+        std::min(membership.contacts.next_read, due);
+}
+
+// True if newcomers may not find the members of this node's zone unless this
+// node adds itself or the zone: the zone is not listed, or has too few live
+// contacts.
+bool needs_listing(state const& membership)
+{
+    contact_directory const& contacts = membership.contacts;
+    if (!membership.self_record || membership.is_leaving)
     {
-        std::size_t const chosen = draw_below(current.random, listed.size());
-        compare_views(membership, listed[chosen], current);
-        listed.erase(listed.begin() + static_cast<std::ptrdiff_t>(chosen));
+        return false;
     }
+    bool const is_zone_listed =
+        std::ranges::find(contacts.zones,
+                          membership.startup_options.availability_zone) !=
+        contacts.zones.end();
+    return !is_zone_listed ||
+           (!contacts.is_listed &&
+            count_live_contacts(membership) < min_live_contacts);
 }
 
-// The list with this node added and the nodes known to be gone removed, or an
-// empty list if this node need not or cannot be added.
+std::set<std::string_view> zones_of_members(state const& membership)
+{
+    std::set<std::string_view> zones;
+    for (auto const& [service, records] : membership.services)
+    {
+        for (member_record const& record : records)
+        {
+            zones.insert(record.availability_zone);
+        }
+    }
+    return zones;
+}
+
+// True if a member of each listed availability zone is known.
+bool knows_all_zones(state const& membership)
+{
+    auto const known = zones_of_members(membership);
+    return std::ranges::all_of(
+        membership.contacts.zones,
+        [&](std::string const& zone)
+        {
+            return zone == membership.startup_options.availability_zone ||
+                   known.contains(zone);
+        });
+}
+
+// True if this node knows the fleet, and the fleet's newcomers can find it.
+bool has_joined(state const& membership)
+{
+    return !knows_no_peers(membership) && !needs_listing(membership) &&
+           knows_all_zones(membership);
+}
+
+contact_order order_of_contacts(state const& membership)
+{
+    return membership.contacts.retry_delay <= min_retry_delay
+               ? contact_order::random
+               : contact_order::latest_first;
+}
+
+// The contacts on a stored list; ignores what is beyond its limit.
+std::vector<std::string> parse_contacts(std::string_view text)
+{
+    std::vector<std::string> listed = parse_lines(text);
+    if (listed.size() > max_listed_contacts)
+    {
+        listed.resize(max_listed_contacts);
+    }
+    return listed;
+}
+
+// The list with this node added, and nodes that are gone or silent removed, or
+// an empty list if this node need not or cannot be added. A node that knows no
+// other may itself be cut off, so it takes the place of one silent node at
+// most.
 std::vector<std::string> add_self_to_list(state const& membership,
-                                          std::vector<std::string> listed)
+                                          std::vector<std::string> listed,
+                                          instant now)
 {
     std::string const& self = membership.startup_options.self.address;
     bool const is_listed =
@@ -117,6 +190,22 @@
     std::erase_if(listed,
                   [&](std::string const& address)
                   { return membership.tombstones.contains(address); });
+    auto const is_replaceable = [&](std::string const& address)
+    {
+        return is_silent(membership, address, now);
+    };
+    if (!knows_no_peers(membership))
+    {
+        std::erase_if(listed, is_replaceable);
+    }
+    else if (listed.size() >= max_listed_contacts)
+    {
+        auto const found = std::ranges::find_if(listed, is_replaceable);
+        if (found != listed.end())
+        {
+            listed.erase(found);
+        }
+    }
     if (listed.size() >= max_listed_contacts)
     {
         return {};
@@ -125,18 +214,32 @@
     return listed;
 }
 
+// Replaces what is known of the own zone's list, and forgets attempts to reach
+// nodes that are not on it.
+void note_own_zone(state& membership, std::vector<std::string> listed)
+{
+    contact_directory& contacts = membership.contacts;
+    contacts.is_listed =
+        std::ranges::find(listed, membership.startup_options.self.address) !=
+        listed.end();
+    std::erase_if(
+        contacts.attempts,
+        [&](auto const& attempt)
+        { return std::ranges::find(listed, attempt.first) == listed.end(); });
+    contacts.own_zone = std::move(listed);
+    contacts.most_live = 0;
+}
+
 void handle_own_zone_contacts(state& membership,
                               store_entry const& read,
                               step& current)
 {
-    std::vector<std::string> const listed = parse_lines(read.value);
-    contact_unknown_nodes(membership, listed, current);
-    membership.contacts.is_listed =
-        std::find(listed.begin(),
-                  listed.end(),
-                  membership.startup_options.self.address) != listed.end();
+    std::vector<std::string> const listed = parse_contacts(read.value);
+    note_own_zone(membership, listed);
+    contact_unknown_nodes(
+        membership, listed, order_of_contacts(membership), current);
     std::vector<std::string> const wanted =
-        add_self_to_list(membership, listed);
+        add_self_to_list(membership, listed, current.now.monotonic);
     if (!wanted.empty())
     {
         write_key(
@@ -149,10 +252,33 @@
              current);
 }
 
+// Reads the contacts of another availability zone, if possible of one of which
+// no member is known.
+void read_other_zone(state& membership, step& current)
+{
+    std::vector<std::string> zones = membership.contacts.zones;
+    std::erase(zones, membership.startup_options.availability_zone);
+    if (zones.empty())
+    {
+        return;
+    }
+    auto const known = zones_of_members(membership);
+    auto const unknown = std::ranges::partition(
+        zones, [&](std::string const& zone) { return known.contains(zone); });
+    std::span<std::string const> const choice =
+        unknown.empty() ? std::span<std::string const>(zones)
+                        : std::span<std::string const>(unknown);
+    read_key(membership,
+             store_purpose::read_other_zone,
+             contacts_key(choice[draw_below(current.random, choice.size())]),
+             current);
+}
+
 void handle_zone_list(state& membership, store_entry const& read, step& current)
 {
     std::vector<std::string> zones = parse_lines(read.value);
     std::string const& own_zone = membership.startup_options.availability_zone;
+    membership.contacts.zones = zones;
     bool const is_listed =
         std::find(zones.begin(), zones.end(), own_zone) != zones.end();
     if (!is_listed && membership.self_record)
@@ -161,15 +287,7 @@
         write_key(
             membership, store_purpose::write_zone_list, read, zones, current);
     }
-    std::erase(zones, own_zone);
-    if (!zones.empty())
-    {
-        std::size_t const chosen = draw_below(current.random, zones.size());
-        read_key(membership,
-                 store_purpose::read_other_zone,
-                 contacts_key(zones[chosen]),
-                 current);
-    }
+    read_other_zone(membership, current);
 }
 
 void handle_read_entry(state& membership,
@@ -186,7 +304,10 @@
         handle_zone_list(membership, read, current);
         return;
     case store_purpose::read_other_zone:
-        contact_unknown_nodes(membership, parse_lines(read.value), current);
+        contact_unknown_nodes(membership,
+                              parse_contacts(read.value),
+                              order_of_contacts(membership),
+                              current);
         return;
     case store_purpose::write_contacts:
     case store_purpose::write_zone_list:
@@ -196,6 +317,11 @@
 
 void handle_write_done(state& membership, store_purpose purpose, step& current)
 {
+    if (purpose == store_purpose::write_zone_list)
+    {
+        membership.contacts.zones.push_back(
+            membership.startup_options.availability_zone);
+    }
     if (purpose == store_purpose::write_contacts)
     {
         membership.contacts.is_listed = true;
@@ -241,34 +367,100 @@
 
 void refresh_contacts(state& membership, step& current)
 {
-    if (current.now.monotonic < membership.contacts.next_read)
+    contact_directory& contacts = membership.contacts;
+    continue_contacting(membership, current);
+    if (current.now.monotonic < contacts.next_read)
     {
         return;
     }
+    bool const is_retry = contacts.retry_delay > duration::zero();
+    if (is_retry && !contacts.is_store_unavailable && has_joined(membership))
+    {
+        // Nodes that joined at the same time through other contacts may not
+        // know each other yet.
+        for (std::string const& address :
+             draw_peers(membership, max_contacted_nodes, current))
+        {
+            compare_views(membership, address, current);
+        }
+        schedule_regular_read(membership, current);
+        return;
+    }
     read_key(membership,
              store_purpose::read_own_zone,
              contacts_key(membership.startup_options.availability_zone),
              current);
-    if (knows_no_peers(membership))
+    bool const is_retry_due =
+        knows_no_peers(membership) ||
+        (contacts.retry_delay < max_join_delay && !has_joined(membership) &&
+         is_volunteer(membership, current));
+    if (is_retry_due)
     {
-        schedule_retry(membership, current);
+        schedule_retry(membership, max_join_delay, current);
         return;
     }
-    membership.contacts.retry_delay = {};
-    schedule_next(membership, read_interval, current);
+    schedule_regular_read(membership, current);
+}
+
+instant next_contact_refresh(state const& membership)
+{
+    contact_directory const& contacts = membership.contacts;
+    return contacts.pending.empty()
+               ? contacts.next_read
+               : std::min(contacts.next_read, contacts.next_contact);
+}
+
+void check_live_contacts(state& membership, step& current)
+{
+    contact_directory& contacts = membership.contacts;
+    std::size_t const live = count_live_contacts(membership);
+    if (live >= contacts.most_live)
+    {
+        contacts.most_live = live;
+        return;
+    }
+    if (needs_listing(membership))
+    {
+        contacts.most_live = live;
+        if (is_volunteer(membership, current))
+        {
+            read_within(membership, recheck_window, current);
+        }
+    }
+}
+
+void list_new_member(state& membership, step& current)
+{
+    contact_directory& contacts = membership.contacts;
+    bool const has_read = !contacts.own_zone.empty() || !contacts.zones.empty();
+    if (has_read && needs_listing(membership))
+    {
+        contacts.retry_delay = std::max(contacts.retry_delay, min_retry_delay);
+        read_within(membership, recheck_window, current);
+    }
 }
 
 void recheck_contacts(state& membership, step& current)
 {
-    if (!membership.contacts.is_listed)
+    if (membership.contacts.is_listed)
+    {
+        read_within(membership, recheck_window, current);
+    }
+}
+
+void note_store_reply(state& membership,
+                      store_result const& result,
+                      step& current)
+{
+    contact_directory& contacts = membership.contacts;
+    bool const is_answer = !std::holds_alternative<store_unavailable>(result);
+    if (!is_answer || !std::exchange(contacts.is_store_unavailable, false) ||
+        has_joined(membership))
     {
         return;
     }
-    instant const due = current.now.monotonic +
-                        std::chrono::duration_cast<duration>(
-                            recheck_window * draw_fraction(current.random));
-    membership.contacts.next_read =
-        std::min(membership.contacts.next_read, due);
+    contacts.retry_delay = {};
+    read_within(membership, return_window, current);
 }
 
 void handle_contacts(state& membership,
@@ -298,10 +490,14 @@
     {
         handle_write_done(membership, answered_call.purpose, current);
     }
+    else if (std::holds_alternative<store_conflict>(result))
+    {
+        schedule_retry(membership, max_join_delay, current);
+    }
     else
     {
-        // The write conflicted or the store is unavailable: start again later.
-        schedule_retry(membership, current);
+        membership.contacts.is_store_unavailable = true;
+        schedule_retry(membership, max_outage_delay, current);
     }
 }
 
--- a/src/membership/internal/contacts.hpp
+++ b/src/membership/internal/contacts.hpp
@@ -1,8 +1,9 @@
 // Contact lists in the platform's key-value store: one small key for each
 // availability zone, and one that lists the zones. A node reads the key of its
-// own zone, adds itself if there is room, and also reads the key of a random
-// other zone, which reconnects parts of the fleet that have lost contact with
-// each other.
+// own zone, adds itself if there is room or a listed node is gone, and also
+// reads the key of another zone, which reconnects parts of the fleet that have
+// lost contact with each other. Listed nodes that don't answer lose their
+// places to nodes that run. See docs/MEMBERSHIP.md.
 #pragma once
 
 #include "membership/state.hpp"
@@ -28,8 +29,17 @@
 std::vector<std::string> parse_lines(std::string_view text);
 std::string join_lines(std::span<std::string const> lines);
 
-// Starts reading the contact lists if that is due.
+// Contacts listed nodes, and starts reading the contact lists, if that is due.
 void refresh_contacts(state& membership, step& current);
+// When refresh_contacts next has something to do.
+instant next_contact_refresh(state const& membership);
+
+// Has the contact lists read soon if too few of the listed nodes of the own
+// availability zone are left.
+void check_live_contacts(state& membership, step& current);
+
+// Has this node listed soon if it needs to be, now that it is a member.
+void list_new_member(state& membership, step& current);
 
 // Has the contact lists checked soon if this node was listed, since the
 // key-value store may have lost the entry.
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -2,6 +2,7 @@
 
 #include "membership/internal/anti_entropy.hpp"
 #include "membership/internal/cell.hpp"
+#include "membership/internal/contact_attempts.hpp"
 #include "membership/internal/contacts.hpp"
 #include "membership/internal/failure_detector.hpp"
 #include "membership/internal/gossip_queue.hpp"
@@ -313,6 +314,7 @@
     refresh_targets(membership, current);
     send_heartbeats(membership, current);
     check_watched_peers(membership, current);
+    check_live_contacts(membership, current);
 }
 
 // Runs `callback` if it is due, and sets its next time.
@@ -377,6 +379,7 @@
             membership.self_record->status_version = held->status_version + 1;
         }
         publish_self(membership, announcement_fanout, current);
+        list_new_member(membership, current);
         return;
     }
     member_record& self = *membership.self_record;
@@ -456,6 +459,7 @@
                     step& current)
 {
     note_message_from(membership, sender, current);
+    note_contact_answer(membership, sender.address);
     std::visit(message_visitor{membership, sender, current}, received);
 }
 
@@ -516,7 +520,7 @@
                              membership.next_anti_entropy,
                              membership.next_watcher_selection,
                              membership.next_reconnect,
-                             membership.contacts.next_read});
+                             next_contact_refresh(membership)});
     if (!membership.news.empty())
     {
         next = std::min(next, membership.next_gossip);
--- a/src/membership/measure/main.cpp
+++ b/src/membership/measure/main.cpp
@@ -7,9 +7,10 @@
 
 #include <string>
 
-DEFINE_string(section,
-              "all",
-              "bytes, costs, detection, spread, configuration or all");
+DEFINE_string(
+    section,
+    "all",
+    "bytes, contacts, costs, detection, spread, configuration or all");
 DEFINE_uint64(seed, 1, "seed of every random choice");
 
 namespace
@@ -31,6 +32,10 @@
     {
         measure_bytes(out);
     }
+    if (is_selected("contacts"))
+    {
+        measure_contacts(out, FLAGS_seed);
+    }
     if (is_selected("costs"))
     {
         measure_costs(out, FLAGS_seed);
--- a/src/membership/measure/sections.hpp
+++ b/src/membership/measure/sections.hpp
@@ -27,4 +27,9 @@
 // the time until it is in force everywhere.
 void measure_configuration(report& out, std::uint64_t seed);
 
+// Measures the calls to the key-value store of nodes that start, and the time
+// until they know each other: all at once, one in a running fleet, and all at
+// once after the loss of a fleet.
+void measure_contacts(report& out, std::uint64_t seed);
+
 } // namespace plantaintally::measure
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -50,6 +50,12 @@
 // ignored. A higher era than the one known means that the store has lost its
 // latest writes: peers are notified and the contact lists are checked.
 void note_store_era(state& membership, std::uint64_t era, step& current);
+// Handles the reply of the key-value store to a call of any part of this node:
+// once the store answers again, a node that could not join the fleet meanwhile
+// reads the contact lists soon.
+void note_store_reply(state& membership,
+                      store_result const& result,
+                      step& current);
 // The highest known era of the key-value store; zero if unknown.
 std::uint64_t store_era(state const& membership);
 
--- a/src/membership/state.hpp
+++ b/src/membership/state.hpp
@@ -109,16 +109,37 @@
     std::string key;
 };
 
+// A listed address that this node has contacted.
+struct contact_attempt
+{
+    instant asked_at{};
+    bool has_answered = false;
+};
+
 // State of the contact lists in the platform's key-value store; see
 // internal/contacts.hpp.
 struct contact_directory
 {
     std::map<store_call_id, store_call> calls;
     instant next_read{};
+    // Delay before the latest retry; zero if the next read is a regular one.
     duration retry_delay{};
+    // True from a call that the store did not answer until it answers one.
+    bool is_store_unavailable = false;
     // True if this node is on the list of its availability zone, as far as it
     // knows.
     bool is_listed = false;
+    // The contacts of the own availability zone and the list of zones, as last
+    // read.
+    std::vector<std::string> own_zone;
+    std::vector<std::string> zones;
+    // The most contacts of the own zone that were live at a time since they
+    // were read.
+    std::size_t most_live = 0;
+    // Listed addresses that are still to be contacted, in this order.
+    std::vector<std::string> pending;
+    instant next_contact{};
+    std::map<std::string, contact_attempt, std::less<>> attempts;
 };
 
 // Membership state of this node; part of the node's state.
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -91,6 +91,7 @@
     auto const era = membership::store_era(node.membership);
     membership::note_store_era(node.membership, replied.era, current);
     note_restore(node, era, current);
+    membership::note_store_reply(node.membership, replied.result, current);
     switch (replied.client)
     {
     case store_client::membership:
--- a/src/test_fleet/fleet.cpp
+++ b/src/test_fleet/fleet.cpp
@@ -271,6 +271,10 @@
 
 void fleet::call(fleet_node const& from, call_store const& requested)
 {
+    if (this->on_store_call)
+    {
+        this->on_store_call(requested);
+    }
     // The store executes the request even if its answer comes after the
     // timeout, so the node can't know whether the request took effect.
     store_result result = this->store.handle(requested.request, this->clock);
@@ -290,6 +294,7 @@
             fleet_node& node, step& current)
         {
             membership::note_store_era(node.membership, era, current);
+            membership::note_store_reply(node.membership, result, current);
             if (client == store_client::membership)
             {
                 membership::handle_store(node.membership, id, result, current);
--- a/src/test_fleet/fleet.hpp
+++ b/src/test_fleet/fleet.hpp
@@ -110,6 +110,8 @@
     // Called for each message that a node sends, also if it is lost; for
     // measurements.
     std::function<void(std::string const& from, send_control const&)> on_send;
+    // Called for each call that a node makes to the store; for measurements.
+    std::function<void(call_store const&)> on_store_call;
     // Whether nodes keep their time-line entries; disabled for large fleets to
     // save memory.
     bool keeps_entries = true;
