Reports alone don't put an incarnation back into service

A process that could not read its record took a report that arrived more than five seconds after another for a proof that the incarnation is running.

Such a process now asks the upstream's health endpoint, over a new connection, and puts the incarnation into service once it answers with its name: it does so only while it is healthy and not leaving. A departure that an earlier process acknowledged came before this process started, so the answer is later than it. A worker that runs is back at its first report, where it waited for more than five seconds. Nothing is asked while the store answers; while it does not, there is one check for a report at most. The path of the endpoint comes with the route table, which peers pass on without the store.

Three tests asked for the old rule and are replaced. "Reports that arrive together don't make an incarnation ready" expected one after 5.5 s to do so: now none does, at any distance. "A running incarnation is ready within seconds" keeps its bound of 6.5 s, with health answers in place of reports alone. The tests of a recorded departure, in departures_test and node_test, put the incarnation into service by a health answer before they read the record, in place of a report a minute later.

--- a/spec/departures.pml
+++ b/spec/departures.pml
@@ -7,13 +7,13 @@
  * and then keeps only what is in the platform's key-value store. The store may
  * be unavailable, and the reply to a write may be lost after the write took
  * effect. A report that an incarnation is ready may arrive at any later time
- * and any number of times.
+ * and any number of times, each late by another time, so that two of them prove
+ * nothing, however far apart they arrive.
  *
- * While the record can't be read, a node accepts an incarnation as ready only
- * after two reports that arrive some time apart. If that is longer than reports
- * can be late, the second one was sent after the first one arrived, so that the
- * incarnation is still running (take_live_pair). A node that has read its record
- * once waits for a second only, and two late reports may arrive so far apart
+ * While the record can't be read, a node asks the upstream's health endpoint.
+ * The answer names the upstream, not the start; it says that the incarnation
+ * that gives it is running and not leaving, and it may arrive late. A node that
+ * has read its record once accepts two reports that arrive some time apart
  * (take_late_pair). With LATE_PROOF they count at any node: then it may send
  * requests to an incarnation that has departed, but only until it has read its
  * record (AFTER_READ).
@@ -22,7 +22,9 @@
  * yield a counterexample: NO_RECORD, NO_LOOK, NO_BORN, NO_WAIT, NO_START_TIME
  * (a departure without a start time closes only an incarnation that the node
  * knows), ACK_ALL (the end of a write acknowledges departures that arrived after
- * its beginning), LATE_PROOF, KEEP_OPEN with LATE_PROOF and AFTER_READ (reading the record
+ * its beginning), LATE_PROOF, LEAVING_ANSWERS (an upstream that is leaving
+ * answers health checks), KEPT_ANSWER (the answer to a check by an earlier process
+ * counts), KEEP_OPEN with LATE_PROOF and AFTER_READ (reading the record
  * does not close an incarnation that is open). REACH_ANEW and REACH_WITHOUT_STORE assert that an incarnation is never opened for requests
  * after an acknowledged departure or without the store; both assertions must
  * fail.
@@ -52,6 +54,11 @@
 bool is_unrecorded = false;
 byte asking = 0;
 
+/* The pending health check: the birth that it is made for, and the one that has
+ * answered. */
+byte checked = 0;
+byte answered = 0;
+
 /* The pending write: the highest birth in it, zero if there is none, and the
  * birth whose departure it acknowledges. */
 byte writing = 0;
@@ -89,6 +96,12 @@
 #define IS_PROVEN_BY_LATE_PAIR has_looked_once
 #endif
 
+#ifdef LEAVING_ANSWERS
+#define MAY_ANSWER_CHECK true
+#else
+#define MAY_ANSWER_CHECK !is_leaving
+#endif
+
 #ifdef NO_LOOK
 #define MAY_OPEN true
 #else
@@ -120,20 +133,51 @@
     }
 }
 
-/* Two reports sent at least a second apart arrive: the incarnation is still
- * running. */
-inline take_live_pair()
+/* A node that can't read its record begins a health check for the incarnation
+ * that waits. */
+inline begin_check()
 {
     atomic {
-        !has_looked && !is_leaving && !is_gone && born > left ->
-            present = born;
-            open = born;
-            waiting = 0;
+        !has_looked && !has_looked_once && waiting != 0 && checked == 0 ->
+            checked = waiting
+    }
+}
+
+/* The upstream answers the check. */
+inline answer_check()
+{
+    atomic {
+        checked != 0 && answered == 0 && !is_gone && MAY_ANSWER_CHECK ->
+            answered = born
+    }
+}
+
+/* The answer arrives. Requests reach the incarnation that gave it. */
+inline take_check()
+{
+    atomic {
+        answered != 0 ->
+            if
+            :: waiting != 0 && waiting == checked && !HAS_LEFT(waiting) ->
+                open = answered;
+                waiting = 0
+            :: else -> skip
+            fi;
+            checked = 0;
+            answered = 0;
             check()
     }
 }
 
-/* Two reports of incarnation b that are both late arrive a second apart. */
+/* The check ends without an answer. */
+inline fail_check()
+{
+    atomic {
+        checked != 0 -> checked = 0; answered = 0
+    }
+}
+
+/* Two reports of incarnation b that are both late arrive some time apart. */
 inline take_late_pair(b)
 {
     atomic {
@@ -242,6 +286,9 @@
         writing = 0; covered = 0;
         left = 0; present = 0; open = 0; waiting = 0; asking = 0;
         has_looked = false; has_looked_once = false; is_unrecorded = false;
+#ifndef KEPT_ANSWER
+        checked = 0; answered = 0;
+#endif
     }
 }
 
@@ -250,7 +297,10 @@
     do
     :: take_ready(1)
     :: born == 2 -> take_ready(2)
-    :: take_live_pair()
+    :: begin_check()
+    :: answer_check()
+    :: take_check()
+    :: fail_check()
     :: take_late_pair(1)
     :: take_late_pair(2)
     :: !is_leaving -> is_leaving = true
--- a/src/base/ids.hpp
+++ b/src/base/ids.hpp
@@ -35,6 +35,9 @@
 // A report of the upstream that waits for its answer.
 using report_id = numeric_id<struct report_tag>;
 
+// A check of the upstream's health endpoint.
+using upstream_check_id = numeric_id<struct upstream_check_tag>;
+
 // A node of the fleet: the host:port of its peer listener and the incarnation
 // of its process. A restarted process has a higher incarnation and is a
 // different member.
--- a/src/codec/internal/event_json.hpp
+++ b/src/codec/internal/event_json.hpp
@@ -28,6 +28,7 @@
 PLANTAINTALLY_JSON(
     upstream_reported, "upstream_reported", report, life, phase, announcement)
 PLANTAINTALLY_JSON(health_hint, "health_hint", is_healthy, load_permille)
+PLANTAINTALLY_JSON(upstream_checked, "upstream_checked", check, instance)
 PLANTAINTALLY_JSON(control_received, "control_received", envelope)
 PLANTAINTALLY_JSON(store_replied, "store_replied", call, client, result, era)
 PLANTAINTALLY_JSON(operator_command, "operator_command", command, text)
@@ -67,6 +68,8 @@
     answer_operator, "answer_operator", command, status, message, table)
 PLANTAINTALLY_JSON(wake_at, "wake_at", when)
 PLANTAINTALLY_JSON_EMPTY(drain_upstream, "drain_upstream")
+PLANTAINTALLY_JSON(
+    check_upstream, "check_upstream", check, address, path, timeout)
 PLANTAINTALLY_JSON(
     warm_connections, "warm_connections", upstream_address, count, limit)
 PLANTAINTALLY_JSON(
--- a/src/codec/internal/routes_json.hpp
+++ b/src/codec/internal/routes_json.hpp
@@ -25,7 +25,9 @@
                    max_body_bytes,
                    header_timeout,
                    idle_timeout)
-PLANTAINTALLY_JSON(routes::route_table, "route_table", version, rules, limits)
+PLANTAINTALLY_JSON(routes::service_entry, "service_entry", name, health_path)
+PLANTAINTALLY_JSON(
+    routes::route_table, "route_table", version, rules, services, limits)
 PLANTAINTALLY_JSON(routes::table_question, "table_question", version)
 PLANTAINTALLY_JSON(routes::table_update, "table_update", table)
 PLANTAINTALLY_JSON(routes::table_notice, "table_notice", version)
--- a/src/departures/departures.hpp
+++ b/src/departures/departures.hpp
@@ -4,7 +4,8 @@
 // departure is recorded at the platform's key-value store before it is
 // acknowledged, and a new process reads the record before it considers any
 // incarnation ready. While the record can't be read, an incarnation is ready
-// only after two reports some time apart. See docs/DEPARTURES.md.
+// once it has answered a health check of this process, since reports may be
+// late by any time. See docs/DEPARTURES.md.
 #pragma once
 
 #include "base/ids.hpp"
@@ -35,12 +36,16 @@
     upstream_announcement announcement;
     instant first_seen{};
     std::uint64_t first_sequence = 0;
+    // The check of its health endpoint that has no result yet.
+    std::optional<upstream_check_id> pending_check = {};
 };
 
 // State of departures at this node; owned by the node's state.
 struct state
 {
     node_id self;
+    // Path of the upstream's health endpoint; empty while unknown.
+    std::string health_path;
     // The newest incarnation that was reported, and whether it is leaving.
     std::optional<upstream_incarnation> newest;
     bool is_newest_leaving = false;
@@ -61,6 +66,8 @@
     // True once the record has been read. From then on `departed` holds the
     // departures that earlier processes acknowledged.
     bool was_record_read = false;
+    // True from a call to the key-value store that failed until one succeeds.
+    bool is_store_failing = false;
     // True if `departed` holds incarnations that neither the record nor the
     // pending write contains.
     bool has_unrecorded = false;
@@ -96,6 +103,9 @@
                      store_call_id call,
                      store_result const& result,
                      step& current);
+// Handles the result of a check_upstream effect.
+outcome
+handle_check(state& departures, upstream_checked const& checked, step& current);
 // Checks the record, and writes it again if needed, after the key-value store
 // has come back from an older copy. Results of earlier calls are void.
 void handle_store_restored(state& departures, step& current);
--- a/src/departures/internal/departures.cpp
+++ b/src/departures/internal/departures.cpp
@@ -15,15 +15,14 @@
 // Delay between calls while the platform's key-value store is unavailable.
 constexpr duration retry_interval = std::chrono::milliseconds(400);
 constexpr double retry_jitter = 0.3;
-// While the record can't be read, an incarnation is considered ready once two
-// of its reports have arrived further apart than this. Reports that were
-// delayed by a network partition arrive together when it heals, so they don't
-// qualify.
+// A process that knows all departures but can't read the record now puts an
+// incarnation into service once two of its reports have arrived further apart
+// than this. Reports that were delayed by a network partition arrive together
+// when it heals, so they don't qualify.
 constexpr duration min_live_report_gap = std::chrono::seconds(1);
-// The same for a process that may not know of a departure that an earlier one
-// has acknowledged. It is longer than the reports from before that departure
-// can be late.
-constexpr duration max_report_delay = std::chrono::seconds(5);
+// Longest wait for the answer to a health check, which waits for a slot of the
+// upstream. The next report starts another check.
+constexpr duration check_timeout = std::chrono::seconds(3);
 // After the store has come back from an older copy, the record is checked if
 // `departed` has changed this recently: reports arrive seconds late at most,
 // and in a large fleet only few nodes then call the store.
@@ -142,17 +141,37 @@
             .count());
 }
 
-// Returns true if this report of the waiting candidate shows that it is
-// running.
-bool is_proof_of_life(state const& departures,
-                      upstream_incarnation const& incarnation,
-                      instant now)
+// Returns true if the waiting candidate may be put into service on this report.
+// Reports prove nothing to a process that does not know all departures: each
+// may be late by another time, and from before a departure that an earlier
+// process has acknowledged.
+bool is_report_sufficient(state const& departures,
+                          upstream_incarnation const& incarnation,
+                          instant now)
 {
     candidate const& waiting = *departures.waiting_candidate;
-    duration const gap =
-        departures.was_record_read ? min_live_report_gap : max_report_delay;
-    return incarnation.sequence != waiting.first_sequence &&
-           now - waiting.first_seen > gap;
+    return departures.is_record_read ||
+           (departures.was_record_read &&
+            incarnation.sequence != waiting.first_sequence &&
+            now - waiting.first_seen > min_live_report_gap);
+}
+
+// Asks the waiting candidate's health endpoint whether it is running and not
+// leaving, if nothing else can tell.
+void check_candidate(state& departures, step& current)
+{
+    if (!departures.waiting_candidate || departures.was_record_read ||
+        !departures.is_store_failing || departures.health_path.empty() ||
+        departures.waiting_candidate->pending_check)
+    {
+        return;
+    }
+    candidate& waiting = *departures.waiting_candidate;
+    waiting.pending_check = current.ids.next<upstream_check_id>();
+    current.out.push_back(check_upstream{*waiting.pending_check,
+                                         waiting.announcement.address,
+                                         departures.health_path,
+                                         check_timeout});
 }
 
 outcome open_candidate(state& departures, step& current)
@@ -206,11 +225,13 @@
     if (departures.waiting_candidate)
     {
         departures.waiting_candidate->announcement = reported.announcement;
-        return departures.is_record_read ||
-                       is_proof_of_life(
-                           departures, incarnation, current.now.monotonic)
-                   ? open_candidate(departures, current)
-                   : outcome{};
+        if (is_report_sufficient(
+                departures, incarnation, current.now.monotonic))
+        {
+            return open_candidate(departures, current);
+        }
+        check_candidate(departures, current);
+        return {};
     }
     departures.in_service = incarnation;
     outcome changes;
@@ -303,6 +324,10 @@
 
 void handle_store_failure(state& departures, step& current)
 {
+    if (!std::exchange(departures.is_store_failing, true))
+    {
+        check_candidate(departures, current);
+    }
     departures.next_call =
         current.now.monotonic +
         draw_jittered(current.random, retry_interval, retry_jitter);
@@ -372,6 +397,7 @@
     }
     departures.is_record_read = true;
     departures.was_record_read = true;
+    departures.is_store_failing = false;
     departures.is_check_due = false;
     departures.record_revision = entry == nullptr ? 0 : entry->revision;
     merge_record(departures,
@@ -458,6 +484,28 @@
     return {};
 }
 
+outcome
+handle_check(state& departures, upstream_checked const& checked, step& current)
+{
+    auto& waiting = departures.waiting_candidate;
+    if (!waiting || waiting->pending_check != checked.check)
+    {
+        return {};
+    }
+    waiting->pending_check.reset();
+    if (checked.instance != waiting->incarnation.instance)
+    {
+        record(current,
+               "",
+               "departures",
+               "unconfirmed",
+               describe(waiting->incarnation) +
+                   " answered_by=" + checked.instance);
+        return {};
+    }
+    return open_candidate(departures, current);
+}
+
 void handle_store_restored(state& departures, step& current)
 {
     if (!departures.is_started)
--- a/src/departures/tests/departures_test.cpp
+++ b/src/departures/tests/departures_test.cpp
@@ -24,6 +24,7 @@
     explicit process(std::uint64_t started_at_ms = 100) : wall_ms(started_at_ms)
     {
         this->departures.self.address = "10.0.0.1:7000";
+        this->departures.health_path = "/health";
         auto current = this->begin();
         start(this->departures, current);
     }
@@ -36,6 +37,7 @@
         reported.life = incarnation;
         reported.phase = phase;
         reported.announcement.service = "desk";
+        reported.announcement.address = "10.0.0.1:8000";
         reported.announcement.instance = incarnation.instance;
         auto current = this->begin();
         return apply_report(this->departures, reported, current);
@@ -55,6 +57,23 @@
         handle_time(this->departures, current);
     }
 
+    // The health check that the last step requested.
+    std::optional<check_upstream> check() const
+    {
+        auto const* requested = this->find<check_upstream>();
+        return requested == nullptr ? std::nullopt : std::optional(*requested);
+    }
+
+    // Ends a health check; `instance` is empty if no instance is healthy and
+    // stays.
+    outcome answer_check(check_upstream const& requested,
+                         std::string const& instance)
+    {
+        auto current = this->begin();
+        return handle_check(
+            this->departures, {requested.check, instance}, current);
+    }
+
     // Begins a step at `now` and the wall-clock time of this process.
     step begin()
     {
@@ -190,34 +209,33 @@
           12);
 }
 
-TEST_CASE(
-    "without the store, reports that arrive together don't make an incarnation "
-    "ready")
-{
-    process node;
-    node.reply(store_unavailable{false});
-    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 1)).opened);
-    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 2)).opened);
-    node.now += 5500ms;
-    CHECK(node.report(make_incarnation("i-1", 5, 3)).opened);
-}
-
 // Guards against late reports that are taken as a proof of life by a process
-// that can't know yet of a departure that an earlier one acknowledged.
-TEST_CASE("without the store, reports from before the start don't make an "
-          "incarnation ready")
+// that can't know yet of a departure that an earlier one acknowledged: each may
+// be late by any time.
+TEST_CASE("without the store, reports alone never make an incarnation ready")
 {
     process node;
     node.reply(store_unavailable{false});
-    node.now += 900ms;
-    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 7)).opened);
-    node.now += 1500ms;
-    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 8)).opened);
-    node.now += 2500ms;
-    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 9)).opened);
+    std::uint64_t sequence = 1;
+    for (duration const gap : {duration(0ms),
+                               duration(900ms),
+                               duration(1500ms),
+                               duration(5500ms),
+                               duration(1min),
+                               duration(1h)})
+    {
+        node.now += gap;
+        CHECK_FALSE(node.report(make_incarnation("i-1", 5, sequence)).opened);
+        auto const check = node.check();
+        REQUIRE(check);
+        CHECK(check->address == "10.0.0.1:8000");
+        CHECK(check->path == "/health");
+        CHECK_FALSE(node.answer_check(*check, "").opened);
+        ++sequence;
+    }
     node.advance(1s);
     CHECK_FALSE(node.reply(store_entry{"k", "5 i-1\n", 7}).opened);
-    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 10)).opened);
+    CHECK_FALSE(node.report(make_incarnation("i-1", 5, sequence)).opened);
 }
 
 TEST_CASE("without the store, a running incarnation is ready within seconds")
@@ -226,11 +244,99 @@
     node.reply(store_unavailable{false});
     instant const first = node.now;
     std::uint64_t sequence = 1;
-    while (!node.report(make_incarnation("i-1", 5, sequence)).opened)
+    SECTION("at its first report") {}
+    SECTION("after checks without an answer")
     {
-        REQUIRE(node.now - first < 6500ms);
-        node.now += 1500ms;
-        ++sequence;
+        for (; sequence < 4; ++sequence)
+        {
+            node.report(make_incarnation("i-1", 5, sequence));
+            node.answer_check(node.check().value(), "");
+            node.now += 1500ms;
+        }
+    }
+    node.report(make_incarnation("i-1", 5, sequence));
+    auto const after_answer = node.answer_check(node.check().value(), "i-1");
+    REQUIRE(after_answer.opened);
+    CHECK(after_answer.opened->instance == "i-1");
+    CHECK(node.now - first < 6500ms);
+    // The next reports need no check.
+    CHECK(node.report(make_incarnation("i-1", 5, sequence + 1)).opened);
+    CHECK_FALSE(node.check());
+}
+
+TEST_CASE("a health check counts for the incarnation that it names only")
+{
+    process node;
+    node.reply(store_unavailable{false});
+    node.report(make_incarnation("i-1", 5, 8));
+    auto const first = node.check().value();
+    SECTION("another one serves at the address")
+    {
+        CHECK_FALSE(node.answer_check(first, "i-2").opened);
+    }
+    SECTION("a newer one has taken its place meanwhile")
+    {
+        node.report(make_incarnation("i-2", 9, 1));
+        auto const second = node.check().value();
+        CHECK_FALSE(node.answer_check(first, "i-1").opened);
+        CHECK_FALSE(node.answer_check(first, "i-2").opened);
+        CHECK(node.answer_check(second, "i-2").opened);
+    }
+    SECTION("it has left meanwhile")
+    {
+        node.report(make_incarnation("i-1", 0, 0), upstream_phase::gone);
+        CHECK_FALSE(node.answer_check(first, "i-1").opened);
+        CHECK_FALSE(node.report(make_incarnation("i-1", 5, 7)).opened);
+        CHECK_FALSE(node.check());
+    }
+    SECTION("its departure has been read meanwhile")
+    {
+        node.advance(1s);
+        node.reply(store_entry{"k", "5 i-1\n", 7});
+        CHECK_FALSE(node.answer_check(first, "i-1").opened);
+    }
+}
+
+TEST_CASE("health checks are made only if nothing else can tell")
+{
+    process node;
+    SECTION("not while the record is being read")
+    {
+        node.report(make_incarnation("i-1", 5, 1));
+        CHECK_FALSE(node.check());
+        CHECK(node.reply(store_missing{}).opened);
+        CHECK_FALSE(node.check());
+    }
+    SECTION("once the record could not be read")
+    {
+        node.report(make_incarnation("i-1", 5, 1));
+        node.reply(store_unavailable{true});
+        CHECK(node.check());
+        // One at a time.
+        node.report(make_incarnation("i-1", 5, 2));
+        CHECK_FALSE(node.check());
+        node.advance(1s);
+        node.reply(store_unavailable{true});
+        CHECK_FALSE(node.check());
+    }
+    SECTION("not while the path is unknown")
+    {
+        node.departures.health_path.clear();
+        node.reply(store_unavailable{false});
+        node.report(make_incarnation("i-1", 5, 1));
+        CHECK_FALSE(node.check());
+        node.departures.health_path = "/health";
+        node.report(make_incarnation("i-1", 5, 2));
+        CHECK(node.check());
+    }
+    SECTION("not by a process that knows all departures")
+    {
+        node.reply(store_missing{});
+        node.report(make_incarnation("i-1", 5, 1));
+        node.report(make_incarnation("i-1", 5, 2), upstream_phase::gone);
+        node.reply(store_unavailable{true});
+        node.report(make_incarnation("i-2", 9, 1));
+        CHECK_FALSE(node.check());
     }
 }
 
@@ -379,8 +485,7 @@
     process node;
     node.reply(store_unavailable{false});
     node.report(make_incarnation("i-1", 5, 1));
-    node.now += 1min;
-    REQUIRE(node.report(make_incarnation("i-1", 5, 2)).opened);
+    REQUIRE(node.answer_check(node.check().value(), "i-1").opened);
     SECTION("it leaves in the step in which the record is read")
     {
         node.advance(1s);
--- a/src/drivers/dialect.hpp
+++ b/src/drivers/dialect.hpp
@@ -122,6 +122,9 @@
     // Response header in which the upstream echoes the request id; empty if it
     // does not.
     std::string echoed_id_header;
+    // Response header in which a healthy upstream names its instance; empty if
+    // it names none.
+    std::string instance_header;
     // True if the end of the connection may delimit the body of an upstream's
     // response.
     bool allows_close_delimited_answers = false;
--- a/src/drivers/internal/carry_out.cpp
+++ b/src/drivers/internal/carry_out.cpp
@@ -103,6 +103,11 @@
     }
 }
 
+void engine::carry_out(check_upstream const& effect)
+{
+    this->probe.check(effect);
+}
+
 void engine::carry_out(warm_connections const& effect)
 {
     this->upstream_pool.warm(
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -51,6 +51,8 @@
                                    new_config.limits.max_connections_per_peer)),
       upstream_pool(
           this->tasks, this->driver_metrics, this->pool_options("upstream", 1)),
+      check_pool(
+          this->tasks, this->driver_metrics, this->pool_options("check", 1)),
       platform_pool(
           this->tasks,
           this->driver_metrics,
@@ -60,6 +62,9 @@
           this->upstream_pool,
           this->client_limits(
               this->external_dialect.allows_close_delimited_answers)),
+      check_client(this->check_pool,
+                   this->client_limits(
+                       this->external_dialect.allows_close_delimited_answers)),
       store_http_client(this->platform_pool, this->client_limits(false)),
       outbound_attempts({this->tasks,
                          this->driver_metrics,
@@ -76,7 +81,12 @@
                 this->event_sink(),
                 settings::to_string(new_config.platform.address),
                 new_config.platform.timeout}),
-      probe({this->tasks, this->upstream_client, this->event_sink()}),
+      probe({this->tasks,
+             this->upstream_client,
+             this->check_pool,
+             this->check_client,
+             this->external_dialect,
+             this->event_sink()}),
       control(this->tasks,
               this->driver_metrics,
               {new_config.node.peer_address,
@@ -314,6 +324,7 @@
         this->exchanges.sweep();
         this->peer_pool.sweep();
         this->upstream_pool.sweep();
+        this->check_pool.sweep();
         this->platform_pool.sweep();
         auto const& announced = this->local.announcement();
         if (announced && this->external_dialect.calls_upstream_endpoints)
--- a/src/drivers/internal/engine.hpp
+++ b/src/drivers/internal/engine.hpp
@@ -73,6 +73,7 @@
     void carry_out(answer_operator const& effect);
     void carry_out(wake_at const& effect);
     void carry_out(drain_upstream const& effect);
+    void carry_out(check_upstream const& effect);
     void carry_out(warm_connections const& effect);
     void carry_out(record_entry const& effect);
     void carry_out(exit_process const& effect);
@@ -91,9 +92,11 @@
     exchange_table exchanges;
     connection_pool peer_pool;
     connection_pool upstream_pool;
+    connection_pool check_pool;
     connection_pool platform_pool;
     http_client peer_client;
     http_client upstream_client;
+    http_client check_client;
     http_client store_http_client;
     attempts outbound_attempts;
     platform_client platform;
--- a/src/drivers/internal/event_kind.cpp
+++ b/src/drivers/internal/event_kind.cpp
@@ -44,6 +44,10 @@
     {
         return "health-hint";
     }
+    std::string_view operator()(upstream_checked const&) const
+    {
+        return "upstream-checked";
+    }
     std::string_view operator()(control_received const&) const
     {
         return "control-received";
--- a/src/drivers/internal/upstream_probe.cpp
+++ b/src/drivers/internal/upstream_probe.cpp
@@ -65,6 +65,11 @@
     }
 }
 
+void upstream_probe::check(check_upstream const& requested)
+{
+    this->dependencies.tasks.spawn(this->run_check(requested));
+}
+
 void upstream_probe::drain(std::string const& address)
 {
     this->dependencies.tasks.spawn(this->run_drain(address));
@@ -88,6 +93,25 @@
     }
 }
 
+asio::awaitable<void> upstream_probe::run_check(check_upstream requested)
+{
+    call_control control;
+    auto request = make_request("GET", requested.path, requested.address);
+    // An answer on a used connection could be a late one to an earlier request.
+    this->dependencies.check_connections.close_idle();
+    auto const call_outcome = co_await this->dependencies.check_client.call(
+        requested.address, std::move(request), requested.timeout, control);
+    this->dependencies.check_connections.close_idle();
+    upstream_checked checked{requested.check, {}};
+    auto const* const read = std::get_if<answer>(&call_outcome);
+    if (read != nullptr && read->status == ok)
+    {
+        checked.instance = find_header(
+            read->headers, this->dependencies.external_dialect.instance_header);
+    }
+    this->dependencies.submit_event(std::move(checked));
+}
+
 asio::awaitable<void> upstream_probe::run_drain(std::string address)
 {
     call_control control;
--- a/src/drivers/internal/upstream_probe.hpp
+++ b/src/drivers/internal/upstream_probe.hpp
@@ -1,8 +1,11 @@
-// Polls the local upstream's health and tells it to drain.
+// Asks for the local upstream's health and tells it to drain.
 #pragma once
 
+#include "drivers/dialect.hpp"
+#include "drivers/internal/connection_pool.hpp"
 #include "drivers/internal/http_client.hpp"
 #include "drivers/internal/task_scope.hpp"
+#include "messages/effects.hpp"
 #include "messages/events.hpp"
 
 #include <functional>
@@ -19,6 +22,10 @@
     {
         task_scope& tasks;
         http_client& client;
+        // For checks, whose connections are used once.
+        connection_pool& check_connections;
+        http_client& check_client;
+        dialect const& external_dialect;
         std::function<void(event)> submit_event;
     };
 
@@ -28,6 +35,9 @@
     // in flight. A valid response is submitted as health_hint; a missing one is
     // ignored.
     void probe(std::string const& address);
+    // Asks which instance serves at an address. The result is submitted as
+    // upstream_checked.
+    void check(check_upstream const& requested);
     // Tells the upstream to drain; best effort.
     void drain(std::string const& address);
 
@@ -36,6 +46,7 @@
     bool is_probing = false;
 
     asio::awaitable<void> run_probe(std::string address);
+    asio::awaitable<void> run_check(check_upstream requested);
     asio::awaitable<void> run_drain(std::string address);
 };
 
--- a/src/messages/effects.hpp
+++ b/src/messages/effects.hpp
@@ -135,6 +135,17 @@
 {
 };
 
+// Asks the health endpoint at this address, over a new connection, which
+// upstream serves there; upstream_checked returns the result. Health checks are
+// priced.
+struct check_upstream
+{
+    upstream_check_id check;
+    std::string address;
+    std::string path;
+    duration timeout{};
+};
+
 // Opens connections to the upstream in advance: keeps at least `count` of them
 // open, and at most `limit`.
 struct warm_connections
@@ -169,6 +180,7 @@
                             answer_operator,
                             wake_at,
                             drain_upstream,
+                            check_upstream,
                             warm_connections,
                             record_entry,
                             exit_process>;
--- a/src/messages/events.hpp
+++ b/src/messages/events.hpp
@@ -92,6 +92,15 @@
     std::uint32_t load_permille = 0;
 };
 
+// The result of check_upstream.
+struct upstream_checked
+{
+    upstream_check_id check;
+    // The instance that answered that it is healthy and not leaving; empty if
+    // none did in time.
+    std::string instance;
+};
+
 // A control message was received over the peer link.
 struct control_received
 {
@@ -136,6 +145,7 @@
                            upstream_gone,
                            upstream_reported,
                            health_hint,
+                           upstream_checked,
                            control_received,
                            store_replied,
                            operator_command,
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -201,6 +201,14 @@
         this->node.health = incoming;
     }
 
+    void operator()(upstream_checked const& incoming) const
+    {
+        apply_departures(this->node,
+                         departures::handle_check(
+                             this->node.departures, incoming, this->current),
+                         this->current);
+    }
+
     void operator()(control_received const& incoming) const
     {
         control_envelope const& envelope = incoming.envelope;
--- a/src/node/internal/upstream.cpp
+++ b/src/node/internal/upstream.cpp
@@ -117,6 +117,11 @@
                    step& current)
 {
     node.last_upstream_report = current.now.monotonic;
+    if (reported.phase == upstream_phase::ready)
+    {
+        node.departures.health_path =
+            routes::health_path(node.routes, reported.announcement.service);
+    }
     apply_departures(
         node,
         departures::apply_report(node.departures, reported, current),
--- a/src/node/tests/departure_record_test.cpp
+++ b/src/node/tests/departure_record_test.cpp
@@ -11,12 +11,14 @@
 namespace
 {
 
-// One node process whose calls to the key-value store all get the same reply.
+// One node process whose calls to the key-value store all get the same reply,
+// and whose health checks are answered by `serving`.
 struct process
 {
     state node;
     instant now{std::chrono::seconds(1000)};
     store_result reply = store_unavailable{false};
+    std::string serving;
 
     process()
     {
@@ -24,6 +26,9 @@
         startup.self = {"10.0.0.1:7000", 1};
         startup.has_routes = true;
         this->node = make_state(startup);
+        routes::route_table table;
+        table.services = {{"desk", "/health"}};
+        this->node.routes.in_force = table;
         this->handle(timer_fired{});
     }
 
@@ -38,6 +43,10 @@
                 this->handle(
                     store_replied{call->call, call->client, this->reply, 1});
             }
+            if (auto const* check = std::get_if<check_upstream>(&each))
+            {
+                this->handle(upstream_checked{check->check, this->serving});
+            }
         }
     }
 
@@ -72,9 +81,8 @@
     "admission closes once a node has read that its upstream has departed")
 {
     process node;
+    node.serving = "i-1";
     node.report(1);
-    node.run_for(1min);
-    node.report(2);
     REQUIRE(node.takes_work());
     node.reply = store_entry{"k", "5 i-1\n", 7};
     node.run_for(1s);
@@ -90,9 +98,12 @@
     process node;
     node.run_for(1s);
     node.report(7);
-    node.run_for(1500ms);
-    node.report(8);
-    CHECK_FALSE(node.takes_work());
+    for (std::uint64_t sequence = 8; sequence < 20; ++sequence)
+    {
+        node.run_for(1500ms);
+        node.report(sequence);
+        CHECK_FALSE(node.takes_work());
+    }
     node.reply = store_entry{"k", "5 i-1\n", 7};
     node.run_for(2s);
     CHECK_FALSE(node.takes_work());
--- a/src/routes/internal/lookup.cpp
+++ b/src/routes/internal/lookup.cpp
@@ -1,5 +1,7 @@
 #include "routes/routes.hpp"
 
+#include <algorithm>
+
 namespace plantaintally::routes
 {
 
@@ -71,4 +73,12 @@
     return rule.targets[best].service;
 }
 
+std::string_view health_path(state const& routes, std::string_view service)
+{
+    auto const& services = routes.in_force.services;
+    auto const found =
+        std::ranges::find(services, service, &service_entry::name);
+    return found == services.end() ? std::string_view() : found->health_path;
+}
+
 } // namespace plantaintally::routes
--- a/src/routes/route_table.hpp
+++ b/src/routes/route_table.hpp
@@ -56,11 +56,23 @@
     bool operator==(caller_limits const&) const = default;
 };
 
+// A service of the platform.
+struct service_entry
+{
+    std::string name;
+    // Path of the health endpoint of the service's upstreams; empty if they
+    // have none.
+    std::string health_path;
+
+    bool operator==(service_entry const&) const = default;
+};
+
 // All routes of one version. Versions never decrease.
 struct route_table
 {
     std::uint64_t version = 0;
     std::vector<route_rule> rules;
+    std::vector<service_entry> services;
     // A zero field selects the limit from the node's settings.
     caller_limits limits;
 
--- a/src/routes/routes.hpp
+++ b/src/routes/routes.hpp
@@ -75,6 +75,10 @@
 };
 
 void start(state& routes, step& current);
+// Path of the health endpoint of the service's upstreams, as the table in force
+// states it; empty if it states none.
+std::string_view health_path(state const& routes, std::string_view service);
+
 void handle_store(state& routes,
                   store_call_id call,
                   store_result const& result,
