--- a/src/membership/internal/contact_attempts.cpp
+++ b/src/membership/internal/contact_attempts.cpp
@@ -90,10 +90,10 @@
                       listed[draw_below(current.random, left)]);
         }
     }
-    std::ranges::stable_partition(
-        listed,
-        [&](std::string const& address)
-        { return !contacts.attempts.contains(address); });
+    std::stable_partition(listed.begin(),
+                          listed.end(),
+                          [&](std::string const& address)
+                          { return !contacts.attempts.contains(address); });
     contacts.pending.insert(
         contacts.pending.begin(), listed.begin(), listed.end());
     contact_pending_nodes(membership, current);
--- a/src/membership/internal/contacts.cpp
+++ b/src/membership/internal/contacts.cpp
@@ -263,11 +263,12 @@
         return;
     }
     auto const known = zones_of_members(membership);
-    auto const unknown = std::ranges::partition(
-        zones, [&](std::string const& zone) { return known.contains(zone); });
-    std::span<std::string const> const choice =
-        unknown.empty() ? std::span<std::string const>(zones)
-                        : std::span<std::string const>(unknown);
+    auto const unknown = std::partition(zones.begin(),
+                                        zones.end(),
+                                        [&](std::string const& zone)
+                                        { return known.contains(zone); });
+    std::span<std::string const> const choice(
+        unknown == zones.end() ? zones.begin() : unknown, zones.end());
     read_key(membership,
              store_purpose::read_other_zone,
              contacts_key(choice[draw_below(current.random, choice.size())]),
--- a/src/membership/tests/contacts_test.cpp
+++ b/src/membership/tests/contacts_test.cpp
@@ -34,9 +34,8 @@
     std::string start()
     {
         int const number = ++this->last_number;
-        std::string const address = "10.0." + std::to_string(number / 250) +
-                                    "." + std::to_string(number % 250) +
-                                    ":7000";
+        std::string address = "10.0." + std::to_string(number / 250) + "." +
+                              std::to_string(number % 250) + ":7000";
         this->all.start_node(address,
                              "zone-" +
                                  std::to_string(number % this->zone_count),
@@ -219,7 +218,7 @@
     nodes.all.run_for(60s);
     auto const listed = nodes.listed(0);
     REQUIRE(listed.size() == membership::max_listed_contacts);
-    auto const survivor = listed[nodes.random() % listed.size()];
+    auto const& survivor = listed[nodes.random() % listed.size()];
     for (std::string const& address : nodes.all.live_addresses())
     {
         if (address != survivor)
@@ -297,6 +296,7 @@
 // and at most two writes.
 TEST_CASE("joining takes few calls to the store")
 {
+    constexpr std::size_t node_count = 54;
     changing_fleet nodes(9);
     std::uint64_t reads = 0;
     std::uint64_t writes = 0;
@@ -309,7 +309,7 @@
             (is_write ? writes : reads) += 1;
         }
     };
-    nodes.start(54);
+    nodes.start(node_count);
     nodes.all.run_for(60s);
     REQUIRE(nodes.is_complete());
     SECTION("in a fleet that runs, one reading")
@@ -327,10 +327,10 @@
         reads = 0;
         writes = 0;
         nodes.lose_all();
-        nodes.start(54);
+        nodes.start(node_count);
         nodes.all.run_for(60s);
         CHECK(nodes.is_complete());
-        CHECK(reads <= 54U * 4 * 3);
-        CHECK(writes <= 54U * 2);
+        CHECK(reads <= node_count * 4 * 3);
+        CHECK(writes <= node_count * 2);
     }
 }
