--- a/src/codec/tests/trace_codec_test.cpp
+++ b/src/codec/tests/trace_codec_test.cpp
@@ -45,6 +45,7 @@
             upstream_gone{},
             upstream_reported{{3}, {"i-1", 7, 2}, upstream_phase::draining, {}},
             health_hint{false, 900},
+            upstream_checked{{10}, "i-1"},
             control_received{{{"a:1", 2}, {3, 4}, question}},
             store_replied{{8}, store_client::once, store_entry{"k", "v", 9}},
             store_replied{{8}, store_client::once, store_unavailable{false}},
--- a/src/routes/tests/routes_test.cpp
+++ b/src/routes/tests/routes_test.cpp
@@ -30,6 +30,7 @@
     routes::route_table table;
     table.version = version;
     table.rules = {make_rule("all", "/x/"), make_rule("deep", "/x/y/")};
+    table.services = {{"desk", "/health"}, {"board", ""}};
     return table;
 }
 
@@ -123,6 +124,16 @@
     CHECK(routes::find_rule(node.routes, "b.example", "/x/y/1") == nullptr);
 }
 
+TEST_CASE("a table states the health endpoints of the services")
+{
+    routes_fixture node;
+    CHECK(routes::health_path(node.routes, "desk").empty());
+    node.reply_table(3, 10);
+    CHECK(routes::health_path(node.routes, "desk") == "/health");
+    CHECK(routes::health_path(node.routes, "board").empty());
+    CHECK(routes::health_path(node.routes, "maps").empty());
+}
+
 TEST_CASE("a hundred requests are split exactly by the targets' weights")
 {
     routes_fixture node;
