Listeners may share a port at different addresses

A node whose operators' listener had the port of its peer or caller listener at another IP address ended at its start with exit code 2, though both can be open: the check compared ports without hosts.

Two listeners now exclude each other if their ports are equal and their hosts are equal or one is the unspecified address. The listeners of the section edge are compared too; a port used twice there was found only when the second listener could not be opened.

--- a/src/settings/internal/endpoint.cpp
+++ b/src/settings/internal/endpoint.cpp
@@ -11,21 +11,49 @@
 namespace
 {
 
+using address_bytes = std::array<unsigned char, sizeof(in6_addr)>;
+
 bool is_ip(int family, std::string const& host)
 {
-    std::array<unsigned char, sizeof(in6_addr)> address{};
+    address_bytes address{};
     return inet_pton(family, host.c_str(), address.data()) == 1;
 }
 
+bool is_v6(endpoint const& address)
+{
+    return address.host.find(':') != std::string::npos;
+}
+
+address_bytes to_bytes(endpoint const& address)
+{
+    address_bytes bytes{};
+    inet_pton(is_v6(address) ? AF_INET6 : AF_INET,
+              address.host.c_str(),
+              bytes.data());
+    return bytes;
+}
+
 } // namespace
 
 std::string to_string(endpoint const& address)
 {
-    bool const is_v6 = address.host.find(':') != std::string::npos;
-    auto const host = is_v6 ? "[" + address.host + "]" : address.host;
+    auto const host = is_v6(address) ? "[" + address.host + "]" : address.host;
     return host + ":" + std::to_string(address.port);
 }
 
+bool overlaps(endpoint const& left, endpoint const& right)
+{
+    if (left.port != right.port)
+    {
+        return false;
+    }
+    constexpr address_bytes unspecified{};
+    auto const left_host = to_bytes(left);
+    auto const right_host = to_bytes(right);
+    return left_host == unspecified || right_host == unspecified ||
+           (is_v6(left) == is_v6(right) && left_host == right_host);
+}
+
 result<endpoint> parse_endpoint(std::string_view text)
 {
     auto const colon = text.rfind(':');
--- a/src/settings/internal/settings.cpp
+++ b/src/settings/internal/settings.cpp
@@ -4,11 +4,12 @@
 #include "settings/internal/setting_rules.hpp"
 
 #include <algorithm>
-#include <array>
 #include <fstream>
 #include <iterator>
+#include <optional>
 #include <set>
 #include <utility>
+#include <vector>
 
 namespace plantaintally::settings
 {
@@ -177,39 +178,66 @@
     return {};
 }
 
-// Returns an error message if two listeners use the same port, or an empty
-// text.
-std::string check_ports(ini_file const& file,
-                        node_settings const& target,
-                        std::string_view file_name)
+// An address that this process listens on, and the key that configures it.
+struct listening_address
+{
+    std::string key;
+    endpoint address;
+};
+
+std::vector<listening_address>
+listening_addresses(node_settings const& configured)
 {
-    auto const& node = target.node;
-    auto const control_port =
-        static_cast<std::uint16_t>(node.peer_address.port + 1);
-    std::array const used{
-        std::pair{std::string_view("peer_address"), node.peer_address.port},
-        std::pair{std::string_view("peer_address"), control_port},
-        std::pair{std::string_view("caller_address"), node.caller_address.port},
-        std::pair{std::string_view("local_address"), node.local_address.port}};
-    for (std::size_t later = 1; later < used.size(); ++later)
+    auto const& node = configured.node;
+    endpoint control_address = node.peer_address;
+    ++control_address.port;
+    std::vector<listening_address> used{
+        {"node.peer_address", node.peer_address},
+        {"node.peer_address", control_address},
+        {"node.caller_address", node.caller_address},
+        {"node.local_address", node.local_address}};
+    auto const& edge = configured.edge;
+    auto const add_edge =
+        [&](std::string key, std::optional<endpoint> const& address)
     {
-        for (std::size_t earlier = 0; earlier < later; ++earlier)
+        if (address)
         {
-            if (used.at(earlier).second != used.at(later).second)
-            {
-                continue;
-            }
-            return format_error(
-                file_name,
-                heading_line(file, "node"),
-                qualified_key("node", used.at(later).first),
-                "port " + std::to_string(used.at(later).second) +
-                    " is already used by " +
-                    std::string(used.at(earlier).first),
-                "a port that no other listener uses; peer_address "
-                "also uses the next higher port, for control "
-                "messages");
+            used.push_back({std::move(key), *address});
         }
+    };
+    add_edge("edge.report_address", edge.report_address);
+    add_edge("edge.ready_address", edge.ready_address);
+    add_edge("edge.metrics_address", edge.metrics_address);
+    return used;
+}
+
+// Returns an error message if two listeners can't be open at the same time, or
+// an empty text.
+std::string check_listeners(ini_file const& file,
+                            node_settings const& target,
+                            std::string_view file_name)
+{
+    auto const used = listening_addresses(target);
+    for (auto later = used.begin(); later != used.end(); ++later)
+    {
+        auto const earlier =
+            std::find_if(used.begin(),
+                         later,
+                         [&](listening_address const& each)
+                         { return overlaps(each.address, later->address); });
+        if (earlier == later)
+        {
+            continue;
+        }
+        auto const section = later->key.substr(0, later->key.find('.'));
+        return format_error(file_name,
+                            heading_line(file, section),
+                            later->key,
+                            "port " + std::to_string(later->address.port) +
+                                " is already used by " + earlier->key,
+                            "a port that no other listener uses at the same "
+                            "IP address; peer_address also uses the next "
+                            "higher port, for control messages");
     }
     return {};
 }
@@ -276,7 +304,7 @@
     }
     if (problem.empty())
     {
-        problem = check_ports(file, target, file_name);
+        problem = check_listeners(file, target, file_name);
     }
     if (problem.empty())
     {
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -28,6 +28,11 @@
 // IP:PORT, or [IPv6]:PORT for an IPv6 address.
 std::string to_string(endpoint const& address);
 
+// True if two listeners can't be open at these addresses at the same time: the
+// ports are equal, and so are the hosts, or one of them is the unspecified
+// address, which covers all others.
+bool overlaps(endpoint const& left, endpoint const& right);
+
 // Parses IP:PORT or [IPv6]:PORT. Fails with errc::invalid_input and the reason.
 result<endpoint> parse_endpoint(std::string_view text);
 
