A taken operators' port does not end the node

A node whose operators' port was used by another process ended at its start with exit code 1 and left its upstream without a node, though no request needs that listener: all listeners had to be open.

edge.metrics_address, and node.local_address if the upstream reports to edge.report_address, are optional now: a failure is logged (listener-unavailable), counted (listener_open_failures_total) and tried again each second. The listeners of requests and reports are required as before.

drivers_test: "a node serves while the addresses of its operators are taken" and "a stop ends a node whose operators' address is taken" failed before.

--- a/apps/plantaintallyd/main.cpp
+++ b/apps/plantaintallyd/main.cpp
@@ -38,8 +38,9 @@
     "  plantaintallyd --settings FILE --check_settings\n\n"
     "SIGTERM and SIGINT request a planned stop: the node accepts no new "
     "requests, finishes those in flight and exits with code 0. Exit code 1: a "
-    "listener or a file could not be opened, or a flag is unknown. Exit code "
-    "2: the settings are missing or invalid, and nothing was started.";
+    "required listener or a file could not be opened, or a flag is unknown. "
+    "Exit code 2: the settings are missing or invalid, and nothing was "
+    "started.";
 
 // Microseconds since the Unix epoch, so that the incarnation is higher than
 // that of every earlier process at this address.
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -121,11 +121,13 @@
                                         new_config.node.peer_address,
                                         new_config.limits.max_peer_connections,
                                         this->peer_sessions)),
+      // Without a listener of its own, the upstream's reports come in here.
       local_listener(
           this->make_listener("local",
                               new_config.node.local_address,
                               new_config.limits.max_local_connections,
-                              this->local_sessions))
+                              this->local_sessions,
+                              new_config.edge.report_address.has_value()))
 {
     this->peer_sessions.limits = this->peer_read_limits({});
     this->caller_sessions.limits.is_provisional =
@@ -142,7 +144,7 @@
     };
     this->add_edge_listener("report", new_config.edge.report_address);
     this->add_edge_listener("ready", new_config.edge.ready_address);
-    this->add_edge_listener("metrics", new_config.edge.metrics_address);
+    this->add_edge_listener("metrics", new_config.edge.metrics_address, true);
 }
 
 result<void> engine::open()
--- a/src/drivers/internal/engine.hpp
+++ b/src/drivers/internal/engine.hpp
@@ -134,14 +134,16 @@
     listener make_listener(std::string_view name,
                            settings::endpoint const& address,
                            std::uint32_t limit,
-                           session_services& services);
+                           session_services& services,
+                           bool is_optional = false);
     void process_event(event const& happened);
     // Returns the effects of an event. If the reducer throws, logs the
     // exception and returns none.
     effects call_reducer(event const& happened, moment const& now);
     std::string make_trace_id();
     void add_edge_listener(std::string_view name,
-                           std::optional<settings::endpoint> const& address);
+                           std::optional<settings::endpoint> const& address,
+                           bool is_optional = false);
     // All listeners, including the edge listeners.
     std::vector<listener*> all_listeners();
     read_limits
--- a/src/drivers/internal/engine_parts.cpp
+++ b/src/drivers/internal/engine_parts.cpp
@@ -106,11 +106,12 @@
 listener engine::make_listener(std::string_view name,
                                settings::endpoint const& address,
                                std::uint32_t limit,
-                               session_services& services)
+                               session_services& services,
+                               bool is_optional)
 {
     return {this->tasks,
             this->driver_metrics,
-            {name, address, limit},
+            {name, address, limit, is_optional},
             [&services](tcp::socket accepted)
             { return serve_session(std::move(accepted), services); },
             [&services](tcp::socket accepted)
@@ -120,22 +121,19 @@
 }
 
 void engine::add_edge_listener(std::string_view name,
-                               std::optional<settings::endpoint> const& address)
+                               std::optional<settings::endpoint> const& address,
+                               bool is_optional)
 {
     if (!address)
     {
         return;
     }
-    auto& services = this->edge_sessions;
-    this->edge_listeners.emplace_back(
-        this->tasks,
-        this->driver_metrics,
-        listener::options{
-            name, *address, this->config.limits.max_local_connections},
-        [&services](tcp::socket accepted)
-        { return serve_session(std::move(accepted), services); },
-        [&services](tcp::socket accepted)
-        { return refuse_session(std::move(accepted), services); });
+    this->edge_listeners.push_back(
+        this->make_listener(name,
+                            *address,
+                            this->config.limits.max_local_connections,
+                            this->edge_sessions,
+                            is_optional));
 }
 
 std::vector<listener*> engine::all_listeners()
--- a/src/drivers/internal/listener.cpp
+++ b/src/drivers/internal/listener.cpp
@@ -1,5 +1,7 @@
 #include "drivers/internal/listener.hpp"
 
+#include "logging/logging.hpp"
+
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,6 +27,9 @@
 // available.
 constexpr auto accept_retry_delay = std::chrono::milliseconds(50);
 
+// Delay between attempts to open an optional listener.
+constexpr auto open_retry_delay = std::chrono::seconds(1);
+
 // Increments a counter for its own lifetime, so that the count stays right if a
 // task throws.
 class scoped_increment
@@ -61,6 +66,47 @@
 }
 
 result<void> listener::open()
+{
+    auto const ec = this->bind_and_listen();
+    if (!ec)
+    {
+        return BOOST_OUTCOME_V2_NAMESPACE::success();
+    }
+    if (!this->config.is_optional)
+    {
+        return fail(errc::io_failure,
+                    std::string(this->config.name) + " listener at " +
+                        settings::to_string(this->config.address) + ": " +
+                        ec.message());
+    }
+    this->driver_metrics.add(this->metric("listener_open_failures_total"));
+    logging::write({logging::level::warning,
+                    "drivers",
+                    "listener-unavailable",
+                    {{"listener", std::string(this->config.name)},
+                     {"address", settings::to_string(this->config.address)},
+                     {"cause", ec.message()}}});
+    return BOOST_OUTCOME_V2_NAMESPACE::success();
+}
+
+void listener::start()
+{
+    this->tasks.spawn(this->accept());
+}
+
+void listener::close()
+{
+    error_code ignored;
+    this->is_closed = true;
+    this->acceptor.close(ignored);
+}
+
+std::uint32_t listener::connection_count() const
+{
+    return this->connections;
+}
+
+error_code listener::bind_and_listen()
 {
     error_code ec;
     auto const host = asio::ip::make_address(this->config.address.host, ec);
@@ -87,32 +133,42 @@
     }
     if (ec)
     {
-        return fail(errc::io_failure,
-                    std::string(this->config.name) + " listener at " +
-                        settings::to_string(this->config.address) + ": " +
-                        ec.message());
+        error_code ignored;
+        this->acceptor.close(ignored);
     }
-    return BOOST_OUTCOME_V2_NAMESPACE::success();
-}
-
-void listener::start()
-{
-    this->tasks.spawn(this->accept());
-}
-
-void listener::close()
-{
-    error_code ignored;
-    this->acceptor.close(ignored);
+    return ec;
 }
 
-std::uint32_t listener::connection_count() const
+asio::awaitable<void> listener::reopen()
 {
-    return this->connections;
+    while (!this->is_closed && !this->acceptor.is_open())
+    {
+        error_code ignored;
+        asio::steady_timer pause(this->tasks.executor(), open_retry_delay);
+        co_await pause.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+        if (this->is_closed)
+        {
+            co_return;
+        }
+        if (this->bind_and_listen())
+        {
+            this->driver_metrics.add(
+                this->metric("listener_open_failures_total"));
+            continue;
+        }
+        logging::write(
+            {logging::level::info,
+             "drivers",
+             "listener-opened",
+             {{"listener", std::string(this->config.name)},
+              {"address", settings::to_string(this->config.address)}}});
+    }
 }
 
 asio::awaitable<void> listener::accept()
 {
+    co_await this->reopen();
     while (this->acceptor.is_open())
     {
         error_code ec;
--- a/src/drivers/internal/listener.hpp
+++ b/src/drivers/internal/listener.hpp
@@ -29,6 +29,9 @@
         std::string_view name;
         settings::endpoint address;
         std::uint32_t max_connections = 0;
+        // True if the node serves without this listener. While its address is
+        // not available, it is tried again.
+        bool is_optional = false;
     };
 
     // `serve` handles accepted connections, `refuse` those beyond the limit.
@@ -38,9 +41,11 @@
              connection_handler serve,
              connection_handler refuse);
 
-    // Binds the address and listens; fails if that is not possible.
+    // Binds the address and listens; fails if that is not possible, unless the
+    // listener is optional.
     result<void> open();
-    // Accepts connections until closed.
+    // Accepts connections until closed; opens the listener first if open()
+    // could not.
     void start();
     void close();
     [[nodiscard]] std::uint32_t connection_count() const;
@@ -54,7 +59,11 @@
     tcp::acceptor acceptor;
     std::uint32_t connections = 0;
     std::uint32_t active_refusals = 0;
+    bool is_closed = false;
 
+    error_code bind_and_listen();
+    // Tries to open the listener until that succeeds or it is closed.
+    asio::awaitable<void> reopen();
     asio::awaitable<void> accept();
     // Accepts the connections that wait already, up to a limit.
     void accept_waiting();
--- a/src/drivers/tests/listener_test.cpp
+++ b/src/drivers/tests/listener_test.cpp
@@ -662,6 +662,90 @@
                              R"("rows":[["1"]],"status":"ok"})");
 }
 
+// Guards against a process that ends because another one uses the port of its
+// operators' listener.
+TEST_CASE("a node serves while the addresses of its operators are taken")
+{
+    std::optional<scripted_server> other_process;
+    other_process.emplace([](test_connection&, std::size_t) {});
+    std::string const taken = other_process->address();
+    settings::endpoint metrics_address;
+    driven_node node(refuse_all,
+                     [&](settings::node_settings& config)
+                     {
+                         config.node.local_address =
+                             settings::parse_endpoint(taken).value();
+                         config.edge.report_address = settings::endpoint{
+                             "127.0.0.1", find_free_port_pair()};
+                         metrics_address = {"127.0.0.1", find_free_port_pair()};
+                         config.edge.metrics_address = metrics_address;
+                     });
+    CHECK(has_status(send_request(node.caller_address(), plain_request), 503));
+    std::string const ask_for_metrics =
+        "GET /metrics HTTP/1.1\r\nHost: node\r\n\r\n";
+    CHECK(send_request(settings::to_string(metrics_address), ask_for_metrics)
+              .find("listener_open_failures_total{listener=\"local\"}") !=
+          std::string::npos);
+
+    other_process.reset();
+    auto const end = std::chrono::steady_clock::now() + test_timeout;
+    bool is_open = false;
+    while (!is_open && std::chrono::steady_clock::now() < end)
+    {
+        is_open = has_status(send_request(taken, ask_for_metrics), 200);
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    CHECK(is_open);
+}
+
+TEST_CASE("a stop ends a node whose operators' address is taken")
+{
+    scripted_server const other_process([](test_connection&, std::size_t) {});
+    driven_node node(
+        refuse_all,
+        [&](settings::node_settings& config)
+        {
+            config.node.local_address =
+                settings::parse_endpoint(other_process.address()).value();
+            config.edge.report_address =
+                settings::endpoint{"127.0.0.1", find_free_port_pair()};
+        });
+    CHECK(has_status(send_request(node.caller_address(), plain_request), 503));
+    auto const asked_at = std::chrono::steady_clock::now();
+    node.request_stop();
+    node.join();
+    CHECK(std::chrono::steady_clock::now() - asked_at <
+          std::chrono::seconds(5));
+}
+
+// The listeners that requests and reports need are not optional.
+TEST_CASE("a node does not start without the listeners of its service path")
+{
+    scripted_server const other_process([](test_connection&, std::size_t) {});
+    auto const taken =
+        settings::parse_endpoint(other_process.address()).value();
+    auto const is_started = [](driven_node::tweak const& changes)
+    {
+        try
+        {
+            driven_node const node(refuse_all, changes);
+        }
+        catch (std::runtime_error const&)
+        {
+            return false;
+        }
+        return true;
+    };
+    CHECK_FALSE(is_started([&](settings::node_settings& config)
+                           { config.node.caller_address = taken; }));
+    CHECK_FALSE(is_started([&](settings::node_settings& config)
+                           { config.node.local_address = taken; }));
+    CHECK_FALSE(is_started([&](settings::node_settings& config)
+                           { config.edge.report_address = taken; }));
+    CHECK_FALSE(is_started([&](settings::node_settings& config)
+                           { config.edge.ready_address = taken; }));
+}
+
 TEST_CASE("a listener keeps working after receiving arbitrary bytes")
 {
     driven_node node(refuse_all);
