Late, lost and rejected health checks

Callers of an upstream whose node had started while the store was away were not served for as long as the outage lasted if its health endpoint took more than three seconds to answer, and late if checks were lost.

Such a node asks the endpoint, since reports prove nothing. It gave up each check after three seconds and began the next one only with the next report after that. A late answer proves as much as a prompt one: what counts is that the check was made by this process.

Up to four checks are now pending, with timeouts up to 54 s; one that has no answer after a second is joined by another, and a rejected one is made again after 0.4 s, three for a report at most.

An upstream that has left stays out as before (platform_test, spec/departures.pml).

--- a/spec/departures.pml
+++ b/spec/departures.pml
@@ -12,7 +12,8 @@
  *
  * While the record can't be read, a node asks the upstream's health endpoint.
  * The answer names the upstream, not the start; it says that the incarnation
- * that gives it is running and not leaving, and it may arrive late. A node that
+ * that gives it is running and not leaving, and it may arrive late. Several checks
+ * may be pending; as each answer counts by itself, one stands for all. A node that
  * has read its record once accepts two reports that arrive some time apart
  * (take_late_pair). With LATE_PROOF they count at any node: then it may send
  * requests to an incarnation that has departed, but only until it has read its
--- a/src/departures/departures.hpp
+++ b/src/departures/departures.hpp
@@ -29,6 +29,13 @@
     write
 };
 
+// A check of an upstream's health endpoint that has no result yet.
+struct pending_check
+{
+    upstream_check_id check;
+    duration timeout{};
+};
+
 // An incarnation that was reported ready but is not in service yet.
 struct candidate
 {
@@ -36,8 +43,11 @@
     upstream_announcement announcement;
     instant first_seen{};
     std::uint64_t first_sequence = 0;
-    // The check of its health endpoint that has no result yet.
-    std::optional<upstream_check_id> pending_check = {};
+    std::vector<pending_check> pending_checks = {};
+    // Checks that may still begin before the next report, and the earliest time
+    // for the next one.
+    std::uint32_t checks_left = 0;
+    instant next_check{};
 };
 
 // State of departures at this node; owned by the node's state.
--- a/src/departures/internal/departures.cpp
+++ b/src/departures/internal/departures.cpp
@@ -3,6 +3,7 @@
 #include "departures/internal/record.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace plantaintally::departures
@@ -20,9 +21,19 @@
 // than this. Reports that were delayed by a network partition arrive together
 // when it heals, so they don't qualify.
 constexpr duration min_live_report_gap = std::chrono::seconds(1);
-// Longest wait for the answer to a health check, which waits for a slot of the
-// upstream. The next report starts another check.
-constexpr duration check_timeout = std::chrono::seconds(3);
+// Longest waits for the answers to health checks that are pending at the same
+// time. A check waits for a slot of the upstream, so its answer may be late,
+// and it may be lost without notice; the short ones make room for others then.
+constexpr std::array<duration, max_concurrent_checks> check_timeouts{
+    std::chrono::seconds(2),
+    std::chrono::seconds(6),
+    std::chrono::seconds(18),
+    std::chrono::seconds(54)};
+// Health checks that begin after a report at most, the delay before the next
+// one after an answer that confirms nothing, and while there is no answer.
+constexpr std::uint32_t max_checks_per_report = 3;
+constexpr duration check_retry_delay = std::chrono::milliseconds(400);
+constexpr duration check_interval = std::chrono::seconds(1);
 // After the store has come back from an older copy, the record is checked if
 // `departed` has changed this recently: reports arrive seconds late at most,
 // and in a large fleet only few nodes then call the store.
@@ -156,22 +167,50 @@
             now - waiting.first_seen > min_live_report_gap);
 }
 
+// True if nothing but the waiting candidate's health endpoint can tell whether
+// it is running and not leaving.
+bool needs_check(state const& departures)
+{
+    return departures.waiting_candidate && !departures.was_record_read &&
+           departures.is_store_failing && !departures.health_path.empty() &&
+           departures.waiting_candidate->checks_left > 0;
+}
+
+// The shortest timeout that no pending check of the candidate has, if any.
+std::optional<duration> free_check_timeout(candidate const& waiting)
+{
+    auto const free = std::ranges::find_if(
+        check_timeouts,
+        [&](duration timeout)
+        {
+            return std::ranges::none_of(waiting.pending_checks,
+                                        [&](pending_check const& pending)
+                                        { return pending.timeout == timeout; });
+        });
+    return free == check_timeouts.end() ? std::nullopt : std::optional(*free);
+}
+
 // Asks the waiting candidate's health endpoint whether it is running and not
-// leaving, if nothing else can tell.
+// leaving, if that is needed and due.
 void check_candidate(state& departures, step& current)
 {
-    if (!departures.waiting_candidate || departures.was_record_read ||
-        !departures.is_store_failing || departures.health_path.empty() ||
-        departures.waiting_candidate->pending_check)
+    if (!needs_check(departures) ||
+        current.now.monotonic < departures.waiting_candidate->next_check)
     {
         return;
     }
     candidate& waiting = *departures.waiting_candidate;
-    waiting.pending_check = current.ids.next<upstream_check_id>();
-    current.out.push_back(check_upstream{*waiting.pending_check,
-                                         waiting.announcement.address,
-                                         departures.health_path,
-                                         check_timeout});
+    auto const timeout = free_check_timeout(waiting);
+    if (!timeout)
+    {
+        return;
+    }
+    auto const check = current.ids.next<upstream_check_id>();
+    waiting.pending_checks.push_back({check, *timeout});
+    waiting.checks_left -= 1;
+    waiting.next_check = current.now.monotonic + check_interval;
+    current.out.push_back(check_upstream{
+        check, waiting.announcement.address, departures.health_path, *timeout});
 }
 
 outcome open_candidate(state& departures, step& current)
@@ -225,6 +264,7 @@
     if (departures.waiting_candidate)
     {
         departures.waiting_candidate->announcement = reported.announcement;
+        departures.waiting_candidate->checks_left = max_checks_per_report;
         if (is_report_sufficient(
                 departures, incarnation, current.now.monotonic))
         {
@@ -488,13 +528,24 @@
 handle_check(state& departures, upstream_checked const& checked, step& current)
 {
     auto& waiting = departures.waiting_candidate;
-    if (!waiting || waiting->pending_check != checked.check)
+    if (!waiting)
+    {
+        return {};
+    }
+    auto const erased = std::erase_if(waiting->pending_checks,
+                                      [&](pending_check const& pending) {
+                                          return pending.check == checked.check;
+                                      });
+    if (erased == 0)
     {
         return {};
     }
-    waiting->pending_check.reset();
     if (checked.instance != waiting->incarnation.instance)
     {
+        waiting->next_check = std::min(
+            waiting->next_check,
+            current.now.monotonic +
+                draw_jittered(current.random, check_retry_delay, retry_jitter));
         record(current,
                "",
                "departures",
@@ -536,19 +587,27 @@
     if (departures.is_started)
     {
         begin_due_call(departures, current);
+        check_candidate(departures, current);
     }
 }
 
 std::optional<instant> next_wakeup(state const& departures)
 {
+    std::optional<instant> earliest;
+    if (needs_check(departures) &&
+        free_check_timeout(*departures.waiting_candidate))
+    {
+        earliest = departures.waiting_candidate->next_check;
+    }
     bool const is_busy = departures.pending_purpose.has_value();
     bool const is_needed = !departures.is_record_read ||
                            departures.has_unrecorded || departures.is_check_due;
-    if (!departures.is_started || is_busy || !is_needed)
+    if (departures.is_started && !is_busy && is_needed)
     {
-        return std::nullopt;
+        earliest = earliest ? std::min(*earliest, departures.next_call)
+                            : departures.next_call;
     }
-    return departures.next_call;
+    return earliest;
 }
 
 } // namespace plantaintally::departures
--- a/src/departures/tests/departures_test.cpp
+++ b/src/departures/tests/departures_test.cpp
@@ -5,6 +5,8 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 using namespace plantaintally;
 using namespace plantaintally::departures;
@@ -264,6 +266,104 @@
     CHECK_FALSE(node.check());
 }
 
+// Guards against a running upstream that stays out of service for an outage of
+// the store because health checks get lost.
+TEST_CASE("without the store, lost health checks don't hold up further ones")
+{
+    auto const [lost_count, bound] = GENERATE(std::pair(4, duration(6500ms)),
+                                              std::pair(100, duration(3min)));
+    process node;
+    node.reply(store_unavailable{false});
+    instant const first = node.now;
+    std::vector<std::pair<check_upstream, instant>> pending;
+    int begun_count = 0;
+    bool is_open = false;
+    std::uint64_t sequence = 0;
+    while (!is_open && node.now - first < bound)
+    {
+        if ((node.now - first) % duration(1500ms) == duration::zero())
+        {
+            node.report(make_incarnation("i-1", 5, ++sequence));
+        }
+        else
+        {
+            node.advance({});
+        }
+        if (auto const begun = node.check())
+        {
+            ++begun_count;
+            pending.emplace_back(*begun, node.now);
+            CHECK(pending.size() <= max_concurrent_checks);
+            is_open = begun_count > lost_count &&
+                      node.answer_check(*begun, "i-1").opened.has_value();
+        }
+        node.now += 50ms;
+        auto const lost = std::ranges::find_if(
+            pending,
+            [&](auto const& each)
+            { return node.now - each.second >= each.first.timeout; });
+        if (!is_open && lost != pending.end())
+        {
+            CHECK_FALSE(node.answer_check(lost->first, "").opened);
+            pending.erase(lost);
+        }
+    }
+    CHECK(is_open);
+}
+
+TEST_CASE("without the store, an answer to a health check may be late")
+{
+    constexpr auto lateness = 30s;
+    process node;
+    node.reply(store_unavailable{false});
+    std::vector<check_upstream> patient;
+    for (std::uint64_t sequence = 1; sequence <= 10; ++sequence)
+    {
+        node.report(make_incarnation("i-1", 5, sequence));
+        auto const begun = node.check();
+        if (begun && begun->timeout > lateness)
+        {
+            patient.push_back(*begun);
+        }
+        node.now += 1500ms;
+    }
+    REQUIRE(patient.size() == 1);
+    node.now += lateness;
+    CHECK(node.answer_check(patient.front(), "i-1").opened);
+}
+
+TEST_CASE("a rejected health check is repeated before the next report")
+{
+    process node;
+    node.reply(store_unavailable{false});
+    node.report(make_incarnation("i-1", 5, 1));
+    int repeated = 0;
+    duration waited{};
+    while (node.check() || waited < 1400ms)
+    {
+        if (auto const begun = node.check())
+        {
+            node.answer_check(*begun, "");
+            ++repeated;
+        }
+        node.advance(50ms);
+        waited += 50ms;
+    }
+    // A check for each report and two repetitions.
+    CHECK(repeated == 3);
+    SECTION("not without further reports")
+    {
+        node.advance(1h);
+        CHECK_FALSE(node.check());
+    }
+    SECTION("after the next report")
+    {
+        node.now += 100ms;
+        node.report(make_incarnation("i-1", 5, 2));
+        CHECK(node.answer_check(node.check().value(), "i-1").opened);
+    }
+}
+
 TEST_CASE("a health check counts for the incarnation that it names only")
 {
     process node;
--- a/src/drivers/internal/engine.cpp
+++ b/src/drivers/internal/engine.cpp
@@ -27,6 +27,9 @@
 // Links of other nodes for each link of this one at most: which nodes others
 // choose is random.
 constexpr std::uint32_t incoming_links_factor = 4;
+// Connections for health checks to an address: those of the incarnation that is
+// checked now, and of former ones at the address that are still pending.
+constexpr std::uint32_t max_check_connections = 4 * max_concurrent_checks;
 // Time for responses still being written after the stop limit has passed.
 constexpr auto final_write_grace = std::chrono::milliseconds(300);
 
@@ -51,8 +54,9 @@
                                    new_config.limits.max_connections_per_peer)),
       upstream_pool(
           this->tasks, this->driver_metrics, this->pool_options("upstream", 1)),
-      check_pool(
-          this->tasks, this->driver_metrics, this->pool_options("check", 1)),
+      check_pool(this->tasks,
+                 this->driver_metrics,
+                 this->pool_options("check", max_check_connections)),
       platform_pool(
           this->tasks,
           this->driver_metrics,
--- a/src/messages/effects.hpp
+++ b/src/messages/effects.hpp
@@ -135,6 +135,9 @@
 {
 };
 
+// Health checks that are made at the same time at most.
+inline constexpr std::uint32_t max_concurrent_checks = 4;
+
 // Asks the health endpoint at this address, over a new connection, which
 // upstream serves there; upstream_checked returns the result. Health checks are
 // priced.
