A store that is slower than the timeouts is heard

A departure beside such a store was never acknowledged.

Calls had fixed timeouts, 0.8 s for the record of departures, 2 s for the contact lists and the route table. A slower store was never heard, and the repeated calls were further work for it.

After a call that timed out the next one now waits for twice as long, after an answer for twice the time that it took, up to 16 s; a prompt answer restores the usual timeout. A call that a later one has overtaken is given up, so that a lost answer costs little. A node with a route table keeps the usual timeout for it. platform.timeout_ms bounds all timeouts and rises from 2 to 16 s.

--- a/src/departures/departures.hpp
+++ b/src/departures/departures.hpp
@@ -10,6 +10,7 @@
 
 #include "base/ids.hpp"
 #include "messages/events.hpp"
+#include "messages/patient_calls.hpp"
 #include "messages/step.hpp"
 #include "messages/store_types.hpp"
 
@@ -89,6 +90,7 @@
     std::uint64_t record_revision = 0;
     std::optional<store_purpose> pending_purpose;
     store_call_id pending_call;
+    patient_calls calls;
     instant next_call{};
 };
 
@@ -113,6 +115,10 @@
                      store_call_id call,
                      store_result const& result,
                      step& current);
+// Gives up a call whose answer was overtaken by the answer to a later call of
+// any part of the reducer.
+outcome
+give_up_overtaken(state& departures, store_call_id answered, step& current);
 // Handles the result of a check_upstream effect.
 outcome
 handle_check(state& departures, upstream_checked const& checked, step& current);
--- a/src/departures/internal/departures.cpp
+++ b/src/departures/internal/departures.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+// Usual timeout of a call: an upstream waits a second for the answer to its
+// report.
 constexpr duration store_timeout = std::chrono::milliseconds(800);
 // Delay between calls while the platform's key-value store is unavailable.
 constexpr duration retry_interval = std::chrono::milliseconds(400);
@@ -60,10 +62,14 @@
 {
     departures.pending_purpose = purpose;
     departures.pending_call = current.ids.next<store_call_id>();
+    duration const timeout = begin_patient_call(departures.calls,
+                                                departures.pending_call,
+                                                store_timeout,
+                                                current.now.monotonic);
     current.out.push_back(call_store{departures.pending_call,
                                      store_client::departures,
                                      std::move(request),
-                                     store_timeout});
+                                     timeout});
 }
 
 void begin_record_read(state& departures, step& current)
@@ -510,6 +516,7 @@
                      store_result const& result,
                      step& current)
 {
+    note_call_result(departures.calls, call, result, current.now.monotonic);
     if (!departures.pending_purpose || departures.pending_call != call)
     {
         return {};
@@ -524,6 +531,19 @@
     return {};
 }
 
+outcome
+give_up_overtaken(state& departures, store_call_id answered, step& current)
+{
+    outcome changes;
+    for (store_call_id const call : take_overtaken_calls(
+             departures.calls, answered, current.now.monotonic))
+    {
+        changes =
+            handle_store(departures, call, store_unavailable{true}, current);
+    }
+    return changes;
+}
+
 outcome
 handle_check(state& departures, upstream_checked const& checked, step& current)
 {
--- a/src/departures/tests/departures_test.cpp
+++ b/src/departures/tests/departures_test.cpp
@@ -193,6 +193,75 @@
     CHECK(node.has_acknowledged());
 }
 
+// Guards against an upstream that never enters service, and departures that are
+// never acknowledged, because each answer of the store comes after the timeout.
+TEST_CASE("a slow store is heard")
+{
+    constexpr duration latency = 1500ms;
+    process node;
+    bool is_open = false;
+    // Answers the pending call, or has it time out.
+    auto const answer = [&](store_result const& result)
+    {
+        auto const timeout = node.find<call_store>()->timeout;
+        bool const is_in_time = latency < timeout;
+        node.now += is_in_time ? latency : timeout;
+        is_open = node.reply(is_in_time ? result : store_unavailable{true})
+                      .opened.has_value();
+        return is_in_time;
+    };
+    // Makes the calls that are due until one is answered.
+    auto const answer_in_time = [&](store_result const& result)
+    {
+        instant const begun = node.now;
+        while (node.find<call_store>() == nullptr || !answer(result))
+        {
+            REQUIRE(node.now - begun < 15s);
+            if (node.find<call_store>() == nullptr)
+            {
+                node.advance(50ms);
+            }
+        }
+    };
+    answer_in_time(store_missing{});
+    is_open = node.report(make_incarnation("i-1", 5, 1)).opened.has_value();
+    CHECK(is_open);
+    node.report(make_incarnation("i-1", 5, 2), upstream_phase::gone);
+    REQUIRE(node.written_record() == "5 i-1\n");
+    answer_in_time(store_written{3});
+    node.report(make_incarnation("i-1", 5, 3), upstream_phase::gone);
+    CHECK(node.has_acknowledged());
+}
+
+// Guards against a long wait for a lost answer once the store answers again.
+TEST_CASE("a read that a later call has overtaken is repeated")
+{
+    process node;
+    while (node.departures.calls.min_timeout < 6s)
+    {
+        if (auto const* call = node.find<call_store>())
+        {
+            node.now += call->timeout;
+            node.reply(store_unavailable{true});
+        }
+        node.advance(50ms);
+    }
+    while (node.find<call_store>() == nullptr)
+    {
+        node.advance(50ms);
+    }
+    auto const pending = node.departures.pending_call;
+    node.now += 4s;
+    auto current = node.begin();
+    give_up_overtaken(
+        node.departures, store_call_id{pending.value + 1}, current);
+    node.advance(1s);
+    REQUIRE(node.find<call_store>() != nullptr);
+    CHECK(node.departures.pending_call != pending);
+    CHECK_FALSE(node.report(make_incarnation("i-1", 5, 1)).opened);
+    CHECK(node.reply(store_missing{}).opened);
+}
+
 TEST_CASE("the record is read again after a write with an unknown result")
 {
     process node;
--- a/src/membership/internal/contacts.cpp
+++ b/src/membership/internal/contacts.cpp
@@ -15,6 +15,7 @@
 namespace
 {
 
+// Usual timeout of a call.
 constexpr duration store_timeout = std::chrono::seconds(2);
 // Interval between reads of the contact lists once the node knows peers.
 constexpr duration read_interval = std::chrono::minutes(10);
@@ -41,8 +42,12 @@
 {
     auto const call = current.ids.next<store_call_id>();
     membership.contacts.calls[call] = store_call{purpose, std::move(key)};
+    duration const timeout = begin_patient_call(membership.contacts.patience,
+                                                call,
+                                                store_timeout,
+                                                current.now.monotonic);
     current.out.push_back(call_store{
-        call, store_client::membership, std::move(request), store_timeout});
+        call, store_client::membership, std::move(request), timeout});
 }
 
 void read_key(state& membership,
@@ -450,11 +455,21 @@
 }
 
 void note_store_reply(state& membership,
+                      store_call_id call,
                       store_result const& result,
                       step& current)
 {
     contact_directory& contacts = membership.contacts;
     bool const is_answer = !std::holds_alternative<store_unavailable>(result);
+    if (is_answer)
+    {
+        for (store_call_id const overtaken : take_overtaken_calls(
+                 contacts.patience, call, current.now.monotonic))
+        {
+            handle_contacts(
+                membership, overtaken, store_unavailable{true}, current);
+        }
+    }
     if (!is_answer || !std::exchange(contacts.is_store_unavailable, false) ||
         has_joined(membership))
     {
@@ -469,6 +484,8 @@
                      store_result const& result,
                      step& current)
 {
+    bool const is_timed_out = note_call_result(
+        membership.contacts.patience, call, result, current.now.monotonic);
     auto const place = membership.contacts.calls.find(call);
     if (place == membership.contacts.calls.end())
     {
@@ -498,6 +515,11 @@
     else
     {
         membership.contacts.is_store_unavailable = true;
+        if (is_timed_out && !has_joined(membership))
+        {
+            // The longer timeout takes the place of a longer delay.
+            membership.contacts.retry_delay = {};
+        }
         schedule_retry(membership, max_outage_delay, current);
     }
 }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -54,6 +54,7 @@
 // once the store answers again, a node that could not join the fleet meanwhile
 // reads the contact lists soon.
 void note_store_reply(state& membership,
+                      store_call_id call,
                       store_result const& result,
                       step& current);
 // The highest known era of the key-value store; zero if unknown.
--- a/src/membership/state.hpp
+++ b/src/membership/state.hpp
@@ -3,6 +3,7 @@
 
 #include "base/string_hash.hpp"
 #include "membership/messages.hpp"
+#include "messages/patient_calls.hpp"
 #include "messages/step.hpp"
 
 #include <chrono>
@@ -121,6 +122,7 @@
 struct contact_directory
 {
     std::map<store_call_id, store_call> calls;
+    patient_calls patience;
     instant next_read{};
     // Delay before the latest retry; zero if the next read is a regular one.
     duration retry_delay{};
--- a/src/membership/tests/contacts_test.cpp
+++ b/src/membership/tests/contacts_test.cpp
@@ -184,6 +184,30 @@
     CHECK(nodes.completes_within(recovery_limit));
 }
 
+// Guards against nodes that never find each other because each answer of the
+// store comes after the timeout.
+TEST_CASE("a replaced fleet forms while the store is slow")
+{
+    constexpr std::size_t service_count = 4;
+    auto const seed = GENERATE(1U, 2U, 3U, 4U, 5U);
+    auto const latency = GENERATE(duration(1s), duration(2200ms), duration(3s));
+    changing_fleet nodes(seed);
+    nodes.fill_lists_with_lost_nodes();
+    nodes.all.store.delay = latency;
+    nodes.start(54);
+    auto const can_serve = [&]
+    {
+        return std::ranges::all_of(
+            nodes.all.live_addresses(),
+            [&](std::string const& address) {
+                return nodes.all.at(address).membership.services.size() ==
+                       service_count;
+            });
+    };
+    CAPTURE(seed, latency.count());
+    CHECK(nodes.all.run_until(can_serve, recovery_limit));
+}
+
 // Guards against a fleet that lives on while all nodes on its lists are
 // replaced: later nodes have to find it.
 TEST_CASE("a node joins a fleet whose nodes were all replaced one by one")
--- a/src/node/internal/reduce.cpp
+++ b/src/node/internal/reduce.cpp
@@ -91,7 +91,16 @@
     auto const era = membership::store_era(node.membership);
     membership::note_store_era(node.membership, replied.era, current);
     note_restore(node, era, current);
-    membership::note_store_reply(node.membership, replied.result, current);
+    membership::note_store_reply(
+        node.membership, replied.call, replied.result, current);
+    if (!std::holds_alternative<store_unavailable>(replied.result))
+    {
+        routes::give_up_overtaken(node.routes, replied.call, current);
+        apply_departures(node,
+                         departures::give_up_overtaken(
+                             node.departures, replied.call, current),
+                         current);
+    }
     switch (replied.client)
     {
     case store_client::membership:
--- a/src/routes/internal/routes.cpp
+++ b/src/routes/internal/routes.cpp
@@ -114,6 +114,13 @@
 {
     auto const call = current.ids.next<store_call_id>();
     routes.calls[call] = purpose;
+    // A node that has a table does not wait longer than usual, so that it
+    // learns of a new one soon after an outage.
+    if (!routes.is_ready && purpose == store_purpose::read)
+    {
+        timeout = begin_patient_call(
+            routes.patience, call, timeout, current.now.monotonic);
+    }
     current.out.push_back(
         call_store{call, store_client::routes, std::move(request), timeout});
 }
@@ -286,12 +293,22 @@
                   store_result const& result,
                   step& current)
 {
+    note_call_result(routes.patience, call, result, current.now.monotonic);
     if (routes.calls.erase(call) > 0)
     {
         std::visit(result_visitor{routes, current}, result);
     }
 }
 
+void give_up_overtaken(state& routes, store_call_id answered, step& current)
+{
+    for (store_call_id const call :
+         take_overtaken_calls(routes.patience, answered, current.now.monotonic))
+    {
+        handle_store(routes, call, store_unavailable{true}, current);
+    }
+}
+
 void handle_store_restored(state& routes, step& current)
 {
     routes.calls.clear();
--- a/src/routes/routes.hpp
+++ b/src/routes/routes.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "base/ids.hpp"
+#include "messages/patient_calls.hpp"
 #include "messages/step.hpp"
 #include "messages/store_types.hpp"
 #include "routes/messages.hpp"
@@ -51,6 +52,7 @@
     bool is_ready = false;
 
     std::map<store_call_id, store_purpose> calls;
+    patient_calls patience;
     // Position in the key-value store's history up to which changes are
     // known. If unset, the table has to be read.
     std::optional<std::uint64_t> cursor;
@@ -79,6 +81,9 @@
 // states it; empty if it states none.
 std::string_view health_path(state const& routes, std::string_view service);
 
+// Gives up calls whose answers were overtaken by the answer to a later call of
+// any part of the reducer.
+void give_up_overtaken(state& routes, store_call_id answered, step& current);
 void handle_store(state& routes,
                   store_call_id call,
                   store_result const& result,
--- a/src/routes/tests/routes_test.cpp
+++ b/src/routes/tests/routes_test.cpp
@@ -477,6 +477,29 @@
     CHECK(store_calls <= watches.size() * 2);
 }
 
+// Guards against a node that never gets a table because each answer of the
+// store comes after the timeout.
+TEST_CASE("a node without a table hears a slow store")
+{
+    constexpr duration latency = 2500ms;
+    routes_fixture node;
+    instant const begun = node.now;
+    while (!node.routes.is_ready)
+    {
+        REQUIRE(node.now - begun < 15s);
+        if (node.call() == nullptr)
+        {
+            node.advance(50ms);
+            continue;
+        }
+        auto const timeout = node.call()->timeout;
+        node.now += std::min(timeout, latency);
+        latency < timeout ? node.reply_table(3, 10)
+                          : node.reply(store_unavailable{true});
+    }
+    CHECK(node.has_begun_watch());
+}
+
 TEST_CASE("calls to an unavailable store back off")
 {
     routes_fixture node;
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -122,8 +122,8 @@
 struct platform_section
 {
     endpoint address;
-    // Timeout of a call; for a watch, its own limit is added.
-    milliseconds timeout{2'000};
+    // Longest timeout of a call; for a watch, its own limit is added.
+    milliseconds timeout{16'000};
     std::uint32_t max_connections = 8;
     // Interval at which a relay polls for configuration changes.
     milliseconds poll_interval{1'000};
--- a/src/test_fleet/fleet.cpp
+++ b/src/test_fleet/fleet.cpp
@@ -294,7 +294,7 @@
             fleet_node& node, step& current)
         {
             membership::note_store_era(node.membership, era, current);
-            membership::note_store_reply(node.membership, result, current);
+            membership::note_store_reply(node.membership, id, result, current);
             if (client == store_client::membership)
             {
                 membership::handle_store(node.membership, id, result, current);
