Log why a call to the store failed, and when

The log named each call to the platform's key-value store but not its end, so that it could not tell a store that is slow from one that rejects calls or is out of reach. A call without a result now leaves a line call-failed with its cause and the time that it took; the names of the causes are shared with the reducer.

--- a/src/drivers/internal/platform_client.cpp
+++ b/src/drivers/internal/platform_client.cpp
@@ -4,6 +4,7 @@
 #include "logging/logging.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <exception>
 #include <memory>
 #include <stdexcept>
@@ -224,6 +225,28 @@
     return std::visit(name_visitor{}, result);
 }
 
+std::string describe_cause(call_result const& call_outcome)
+{
+    if (auto const* const failure = std::get_if<call_failure>(&call_outcome))
+    {
+        return std::string(to_string(failure->failure));
+    }
+    return "status-" + std::to_string(std::get<answer>(call_outcome).status);
+}
+
+// Tells a store that is slow from one that rejects calls or is out of reach.
+void log_failed_call(store_call_id call,
+                     call_result const& call_outcome,
+                     duration elapsed)
+{
+    logging::write({logging::level::debug,
+                    "store",
+                    "call-failed",
+                    {{"call", std::to_string(call.value)},
+                     {"cause", describe_cause(call_outcome)},
+                     {"took_ms", milliseconds(elapsed)}}});
+}
+
 } // namespace
 
 std::string encode_segment(std::string_view key)
@@ -299,6 +322,7 @@
                     {{"call", std::to_string(store_call.call.value)},
                      {"method", request.method},
                      {"target", request.target}}});
+    auto const begun = std::chrono::steady_clock::now();
     // Result if the call throws: the request may have been written.
     call_result call_outcome =
         call_failure{attempt_failure::malformed_answer, true};
@@ -327,6 +351,13 @@
             store_call.request, received);
         era = this->dependencies.external_dialect.read_store_era(received);
     }
+    if (std::holds_alternative<store_unavailable>(result))
+    {
+        log_failed_call(store_call.call,
+                        call_outcome,
+                        std::chrono::duration_cast<duration>(
+                            std::chrono::steady_clock::now() - begun));
+    }
     this->dependencies.driver_metrics.add(
         {"store_calls_total", "result", result_name(result), {}, {}});
     this->dependencies.submit_event(store_replied{
--- a/src/messages/request_types.hpp
+++ b/src/messages/request_types.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace plantaintally
@@ -181,6 +182,9 @@
     cancelled
 };
 
+// The name of a failure in logs and metrics.
+std::string_view to_string(attempt_failure failure);
+
 // One row of an answer to an operator, with one value for each column.
 using table_row = std::vector<std::string>;
 
