A node restarted without the store knows all members at once

Cause: the node was in touch with nobody it knew. The others sent heartbeats to its address, but it compared views only with known members and listed contacts, and each of the others chooses a random member every 10 s.

A node that knows no other member now compares views with the sender of a message, at most once a second.

membership_test, "a node restarted without the store knows all members at once": 20 of 20 failed before, none now; all of membership_test passes.

--- a/src/membership/internal/contact_attempts.cpp
+++ b/src/membership/internal/contact_attempts.cpp
@@ -114,6 +114,22 @@
     contact_pending_nodes(membership, current);
 }
 
+void contact_sender(state& membership,
+                    std::string const& address,
+                    step& current)
+{
+    contact_directory& contacts = membership.contacts;
+    bool const is_alone =
+        member_count(membership) <= (membership.self_record ? 1U : 0U);
+    if (!is_alone || !membership.is_started || membership.is_leaving ||
+        current.now.monotonic < contacts.next_sender_contact)
+    {
+        return;
+    }
+    contacts.next_sender_contact = current.now.monotonic + contact_interval;
+    compare_views(membership, address, current);
+}
+
 void note_contact_answer(state& membership, std::string_view address)
 {
     auto const attempt = membership.contacts.attempts.find(address);
--- a/src/membership/internal/contact_attempts.hpp
+++ b/src/membership/internal/contact_attempts.hpp
@@ -39,6 +39,13 @@
 // Contacts the next listed nodes if that is due.
 void continue_contacting(state& membership, step& current);
 
+// Compares views with the sender of a message if this node knows no other, at
+// most once a second. A node that starts without the store has no list of
+// contacts, and is known to others by its former process.
+void contact_sender(state& membership,
+                    std::string const& address,
+                    step& current);
+
 // Notes that the node at this address runs, if it is a contact.
 void note_contact_answer(state& membership, std::string_view address);
 
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -461,6 +461,7 @@
     note_message_from(membership, sender, current);
     note_contact_answer(membership, sender.address);
     std::visit(message_visitor{membership, sender, current}, received);
+    contact_sender(membership, sender.address, current);
 }
 
 void handle_store(state& membership,
--- a/src/membership/state.hpp
+++ b/src/membership/state.hpp
@@ -142,6 +142,9 @@
     std::vector<std::string> pending;
     instant next_contact{};
     std::map<std::string, contact_attempt, std::less<>> attempts;
+    // The earliest time at which a node that knows no other compares views with
+    // the sender of a message.
+    instant next_sender_contact{};
 };
 
 // Membership state of this node; part of the node's state.
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -277,6 +277,28 @@
     CHECK(is_replaced());
 }
 
+// Guards against a node that starts again during an outage of the store and
+// knows no member, though all members send it heartbeats.
+TEST_CASE("a node restarted without the store knows all members at once")
+{
+    auto const seed = GENERATE(range(61U, 71U));
+    fleet all(seed);
+    start_nodes(all, 12);
+    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 20s));
+    all.run_for(5s);
+    all.store.is_down = true;
+    std::string const restarted = address_of(6);
+    all.crash(restarted);
+    all.run_for(400ms);
+    bool const is_upstream_back = GENERATE(true, false);
+    all.start_node(restarted, zone_of(6), is_upstream_back ? "service-1" : "");
+    auto const known = [&]
+    {
+        return membership::member_count(all.at(restarted).membership);
+    };
+    CHECK(all.run_until([&] { return known() >= 11; }, return_target));
+}
+
 TEST_CASE("outdated gossip does not revive a gone member")
 {
     fleet all(10);
