Links leave a former process that takes their messages

Cause: its peers sent everything over the link that they had open. Only the kernel could end it, and it ends nothing as long as the bytes are acknowledged; membership knew that the member was suspected, then gone, and had no say.

Membership now has the link renewed (renew_link) when it suspects a member, holds it to be gone or asks it whether it is alive, and when it learns of a newer process at the address. A second connection is opened; the link moves to it once the greetings are exchanged, so that a paused process loses nothing.

With the renewal taken out these fail: membership_test, "a restarted node is back though links lead to its former process" (5 of 5), and runtime_test, "a renewed control link moves to the process that listens now".

--- a/src/codec/internal/event_json.hpp
+++ b/src/codec/internal/event_json.hpp
@@ -60,6 +60,7 @@
     refuse_request, "refuse_request", exchange, status, detail, report)
 PLANTAINTALLY_JSON(release_attempt, "release_attempt", attempt)
 PLANTAINTALLY_JSON(send_control, "send_control", address, message)
+PLANTAINTALLY_JSON(renew_link, "renew_link", address)
 PLANTAINTALLY_JSON(call_store, "call_store", call, client, request, timeout)
 PLANTAINTALLY_JSON(tell_readiness, "tell_readiness", is_ready)
 PLANTAINTALLY_JSON(limit_callers, "limit_callers", limits)
--- a/src/drivers/internal/carry_out.cpp
+++ b/src/drivers/internal/carry_out.cpp
@@ -63,6 +63,11 @@
         {this->self, this->callbacks.read_clock(), effect.message});
 }
 
+void engine::carry_out(renew_link const& effect)
+{
+    this->control.renew(effect.address);
+}
+
 void engine::carry_out(call_store const& effect)
 {
     this->platform.call(effect);
--- a/src/drivers/internal/control_link.cpp
+++ b/src/drivers/internal/control_link.cpp
@@ -68,6 +68,7 @@
                   tcp::endpoint peer,
                   std::list<std::string>::iterator position)
         : endpoint(std::move(peer)), socket(executor), guard(this->socket),
+          replacement(executor), replacement_guard(this->replacement),
           retry_pause(executor), lru_position(position)
     {
     }
@@ -75,11 +76,17 @@
     tcp::endpoint endpoint;
     tcp::socket socket;
     deadline_guard guard;
+    // A second connection, to which the link moves once it is established.
+    tcp::socket replacement;
+    deadline_guard replacement_guard;
     asio::steady_timer retry_pause;
     std::list<std::string>::iterator lru_position;
     std::deque<bytes> queue;
     duration reconnect_delay{};
+    bool is_connected = false;
     bool is_sending = false;
+    bool is_opening_replacement = false;
+    bool is_replacement_ready = false;
     bool is_closed = false;
 };
 
@@ -87,21 +94,25 @@
 {
     error_code ignored;
     link.socket.close(ignored);
+    link.is_connected = false;
 }
 
-// Connects and exchanges the greetings; returns whether the link can be used.
-asio::awaitable<bool> connect(outgoing_link& link)
+// Connects and exchanges the greetings; returns whether the connection can be
+// used.
+asio::awaitable<bool> connect(tcp::socket& socket,
+                              deadline_guard& guard,
+                              tcp::endpoint const& endpoint)
 {
     error_code ec;
-    link.guard.arm(connect_timeout);
-    co_await link.socket.async_connect(
-        link.endpoint, asio::redirect_error(asio::use_awaitable, ec));
+    guard.arm(connect_timeout);
+    co_await socket.async_connect(
+        endpoint, asio::redirect_error(asio::use_awaitable, ec));
     if (!ec)
     {
-        link.socket.set_option(tcp::no_delay(true), ec);
-        enable_dead_peer_detection(link.socket, link_limits);
+        socket.set_option(tcp::no_delay(true), ec);
+        enable_dead_peer_detection(socket, link_limits);
         co_await asio::async_write(
-            link.socket,
+            socket,
             asio::buffer(push_greeting),
             asio::redirect_error(asio::use_awaitable, ec));
     }
@@ -109,11 +120,11 @@
     if (!ec)
     {
         co_await asio::async_read(
-            link.socket,
+            socket,
             asio::buffer(received),
             asio::redirect_error(asio::use_awaitable, ec));
     }
-    link.guard.disarm();
+    guard.disarm();
     co_return !ec && received == pull_greeting;
 }
 
@@ -208,6 +219,21 @@
         }
     }
 
+    void renew(std::string const& peer_address)
+    {
+        auto const found = this->links.find(peer_address);
+        if (found == this->links.end())
+        {
+            return;
+        }
+        outgoing_link& link = *found->second;
+        if (link.is_connected &&
+            !std::exchange(link.is_opening_replacement, true))
+        {
+            this->tasks.spawn(this->open_replacement(found->second));
+        }
+    }
+
     void close()
     {
         if (std::exchange(this->is_closed, true))
@@ -248,6 +274,8 @@
         link.queue.clear();
         link.retry_pause.cancel();
         disconnect(link);
+        error_code ignored;
+        link.replacement.close(ignored);
     }
 
     // Sends what is queued, connecting as often as needed.
@@ -256,9 +284,18 @@
         auto const self = this->shared_from_this();
         while (!link->queue.empty())
         {
-            bool const is_connected =
-                link->socket.is_open() || co_await connect(*link);
-            if (is_connected && !link->is_closed && co_await write_first(*link))
+            if (std::exchange(link->is_replacement_ready, false))
+            {
+                link->socket = std::move(link->replacement);
+                link->is_connected = true;
+            }
+            if (!link->is_connected)
+            {
+                link->is_connected =
+                    co_await connect(link->socket, link->guard, link->endpoint);
+            }
+            if (link->is_connected && !link->is_closed &&
+                co_await write_first(*link))
             {
                 link->reconnect_delay = {};
                 if (!link->queue.empty())
@@ -268,7 +305,7 @@
                 continue;
             }
             disconnect(*link);
-            if (!link->is_closed)
+            if (!link->is_closed && !link->is_replacement_ready)
             {
                 co_await self->pause_before_reconnect(*link);
             }
@@ -276,6 +313,26 @@
         link->is_sending = false;
     }
 
+    // Opens a second connection and has the next message sent over it.
+    asio::awaitable<void> open_replacement(link_ptr link)
+    {
+        auto const self = this->shared_from_this();
+        bool const is_established = co_await connect(
+            link->replacement, link->replacement_guard, link->endpoint);
+        link->is_opening_replacement = false;
+        // A link that has failed meanwhile connects again by itself.
+        if (!is_established || !link->is_connected || link->is_closed)
+        {
+            error_code ignored;
+            link->replacement.close(ignored);
+            co_return;
+        }
+        self->driver_metrics.add({"control_links_replaced_total"});
+        // A message whose write this interrupts is sent again.
+        disconnect(*link);
+        link->is_replacement_ready = true;
+    }
+
     asio::awaitable<void> pause_before_reconnect(outgoing_link& link)
     {
         this->driver_metrics.add({"control_links_replaced_total"});
@@ -451,6 +508,11 @@
     this->impl->send(peer_address, envelope);
 }
 
+void control_link::renew(std::string const& peer_address)
+{
+    this->impl->renew(peer_address);
+}
+
 void control_link::close()
 {
     this->impl->close();
--- a/src/drivers/internal/control_link.hpp
+++ b/src/drivers/internal/control_link.hpp
@@ -50,6 +50,9 @@
     // Sends the message without blocking, or drops it.
     void send(std::string const& peer_address,
               control_envelope const& envelope);
+    // Opens a second connection to the node and moves the link to it once it is
+    // established; does nothing if there is no open link.
+    void renew(std::string const& peer_address);
     // Closes all links; no message is delivered after this.
     void close();
 
--- a/src/drivers/internal/engine.hpp
+++ b/src/drivers/internal/engine.hpp
@@ -66,6 +66,7 @@
     void carry_out(refuse_request const& effect);
     void carry_out(release_attempt const& effect);
     void carry_out(send_control const& effect);
+    void carry_out(renew_link const& effect);
     void carry_out(call_store const& effect);
     void carry_out(answer_report const& effect);
     void carry_out(tell_readiness const& effect);
--- a/src/drivers/tests/runtime_test.cpp
+++ b/src/drivers/tests/runtime_test.cpp
@@ -4,6 +4,9 @@
 #include "codec/control_codec.hpp"
 #include "codec/trace_codec.hpp"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/push.h>
@@ -12,11 +15,13 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <atomic>
 #include <cstdio>
 #include <fstream>
 #include <optional>
 #include <string>
+#include <thread>
 
 using namespace plantaintally;
 using namespace plantaintally::drivers;
@@ -311,6 +316,57 @@
     CHECK(std::stoi(sender.metric("control_links_replaced_total")) >= 1);
 }
 
+// Guards against a link that stays with the connection to a former process,
+// which takes messages although nobody reads them.
+TEST_CASE("a renewed control link moves to the process that listens now")
+{
+    settings::endpoint address;
+    std::optional<driven_node> receiver;
+    receiver.emplace(refuse_all,
+                     [&](settings::node_settings& config)
+                     { address = config.node.peer_address; });
+    receiver.reset();
+    boost::asio::io_context io;
+    auto const control = control_endpoint(settings::to_string(address)).value();
+    boost::asio::ip::tcp::acceptor former(
+        io, {boost::asio::ip::make_address(control.host), control.port});
+    std::atomic<bool> is_renewing = false;
+    driven_node sender(
+        [&](event const& happened) -> effects
+        {
+            if (!std::holds_alternative<timer_fired>(happened))
+            {
+                return {};
+            }
+            // So few messages never fill the unread connection, which the
+            // kernel would end.
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            effects requested;
+            if (is_renewing)
+            {
+                requested.push_back(renew_link{settings::to_string(address)});
+            }
+            once::message const question =
+                once::key_question{"duty-desk/0", "k1", 3, 4};
+            requested.push_back(
+                send_control{settings::to_string(address), question});
+            requested.push_back(wake_at{instant{}});
+            return requested;
+        });
+    auto connection = former.accept();
+    std::array<char, 8> const greeting{0, 'S', 'P', 0, 0, 0x51, 0, 0};
+    boost::asio::write(connection, boost::asio::buffer(greeting));
+    std::array<char, 64> received{};
+    boost::asio::read(connection, boost::asio::buffer(received));
+    former.close();
+    receiver.emplace(refuse_all,
+                     [&](settings::node_settings& config)
+                     { config.node.peer_address = address; });
+    is_renewing = true;
+    receiver->wait_for<control_received>(3);
+    CHECK(std::stoi(sender.metric("control_links_replaced_total")) >= 1);
+}
+
 TEST_CASE("bytes that are not a control message are counted and dropped")
 {
     driven_node node(refuse_all);
--- a/src/membership/internal/failure_detector.cpp
+++ b/src/membership/internal/failure_detector.cpp
@@ -48,6 +48,7 @@
     learn(membership, changed, current);
     std::string const& address = changed.node.address;
     // Also inform the suspect itself, so that it can refute.
+    renew_link_to(address, current);
     send(address, gossip{{changed}, false}, current);
     record(current,
            "",
@@ -203,6 +204,7 @@
             draw_below(current.random, known) < max_asking_nodes;
         if (held != nullptr && is_asking)
         {
+            renew_link_to(next->first, current);
             send(next->first, gossip{{*held}, false}, current);
         }
         if (++next == membership.doubted.end())
--- a/src/membership/internal/membership.cpp
+++ b/src/membership/internal/membership.cpp
@@ -124,6 +124,20 @@
     }
 }
 
+// Renews the link to a member whose process has been replaced by the one that
+// the record is of.
+void renew_link_after_restart(state const& membership,
+                              member_record const& record,
+                              step& current)
+{
+    member_record const* const held =
+        find_record(membership, record.node.address);
+    if (held != nullptr && held->node.incarnation < record.node.incarnation)
+    {
+        renew_link_to(record.node.address, current);
+    }
+}
+
 void handle_records(state& membership,
                     node_id const& sender,
                     gossip const& received,
@@ -140,6 +154,7 @@
             answer_claim(membership, sender, record, current);
             continue;
         }
+        renew_link_after_restart(membership, record, current);
         if (received.is_repair)
         {
             merge_record(membership, record, current.now.monotonic);
@@ -290,6 +305,7 @@
         std::next(membership.tombstones.begin(),
                   static_cast<std::ptrdiff_t>(draw_below(
                       current.random, membership.tombstones.size())));
+    renew_link_to(chosen->first, current);
     compare_views(membership, chosen->first, current);
 }
 
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -588,6 +588,32 @@
         return_target));
 }
 
+// Guards against a node that restarts at its address and stays alone, since the
+// connections to its former process were not reset and take all messages.
+TEST_CASE("a restarted node is back though links lead to its former process")
+{
+    auto const seed = GENERATE(range(51U, 56U));
+    fleet all(seed);
+    start_nodes(all, 12);
+    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 20s));
+    all.run_for(5s);
+    all.store.is_down = true;
+    std::string const restarted = address_of(6);
+    all.crash(restarted);
+    for (std::string const& other : all.live_addresses())
+    {
+        all.net.stale_links.insert({other, restarted});
+    }
+    all.start_node(restarted, zone_of(6), "service-1");
+    CHECK(all.run_until(
+        [&]
+        {
+            return is_complete(all, 12) && all.net.stale_links.empty() &&
+                   !is_anyone_seen_as(all, member_status::suspected);
+        },
+        crash_target + return_target));
+}
+
 TEST_CASE("a member that left is asked about by nobody")
 {
     fleet all(51);
--- a/src/messages/effects.hpp
+++ b/src/messages/effects.hpp
@@ -84,6 +84,14 @@
     control_message message;
 };
 
+// Moves the control link to this address, if it is open, to a new connection
+// once that is established. The open connection may lead to a former process at
+// the address and take messages without delivering them.
+struct renew_link
+{
+    std::string address;
+};
+
 // Calls the platform's key-value store; store_replied returns the result.
 struct call_store
 {
@@ -176,6 +184,7 @@
                             refuse_request,
                             release_attempt,
                             send_control,
+                            renew_link,
                             call_store,
                             answer_report,
                             tell_readiness,
--- a/src/test_fleet/fleet.cpp
+++ b/src/test_fleet/fleet.cpp
@@ -225,8 +225,14 @@
 
 void fleet::carry_out(fleet_node& node, effects const& requested)
 {
+    // A renewed link takes the messages of later steps only.
+    std::vector<std::string> renewed;
     for (effect const& each : requested)
     {
+        if (auto const* renewal = std::get_if<renew_link>(&each))
+        {
+            renewed.push_back(renewal->address);
+        }
         if (auto const* sent = std::get_if<send_control>(&each))
         {
             this->deliver(node, *sent);
@@ -245,6 +251,11 @@
             node.entries.push_back(entry->entry);
         }
     }
+    std::string const& address = node.membership.startup_options.self.address;
+    for (std::string const& receiver : renewed)
+    {
+        this->net.stale_links.erase({address, receiver});
+    }
 }
 
 void fleet::deliver(fleet_node const& from, send_control const& sent)
@@ -345,7 +356,8 @@
         return found == this->net.groups.end() ? 0 : found->second;
     };
     return group_of(from) != group_of(to) ||
-           this->net.silent_links.contains({from, to});
+           this->net.silent_links.contains({from, to}) ||
+           this->net.stale_links.contains({from, to});
 }
 
 } // namespace plantaintally::test_fleet
--- a/src/test_fleet/fleet.hpp
+++ b/src/test_fleet/fleet.hpp
@@ -33,6 +33,10 @@
     std::map<std::string, int> groups;
     // Links, by sender and receiver address, that lose every message.
     std::set<std::pair<std::string, std::string>> silent_links;
+    // Links, by sender and receiver address, that still lead to a former
+    // process of the receiver: they lose every message until the sender renews
+    // them.
+    std::set<std::pair<std::string, std::string>> stale_links;
 };
 
 // A simulated node: the states of its reducers and the sources of randomness,
