A control link stays in use while its renewal is not answered, with a test

The postmortem claimed that a paused process loses nothing by a renewal, and no test showed it. runtime_test now plays a process that doesn't accept the second connection, and messages go on to arrive on the first. With the greeting of the renewal ignored in a scratch build the test fails.

The set-up that five membership tests repeated is one function.

--- a/src/drivers/tests/runtime_test.cpp
+++ b/src/drivers/tests/runtime_test.cpp
@@ -22,6 +22,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace plantaintally;
 using namespace plantaintally::drivers;
@@ -367,6 +368,49 @@
     CHECK(std::stoi(sender.metric("control_links_replaced_total")) >= 1);
 }
 
+// Guards against messages that a paused process loses because its peers renew
+// their links to it, which it can't accept until it goes on.
+TEST_CASE("a control link stays in use while its renewal is not answered")
+{
+    boost::asio::io_context io;
+    std::uint16_t const port = find_free_port_pair();
+    std::string const address = "127.0.0.1:" + std::to_string(port);
+    auto const control = control_endpoint(address).value();
+    boost::asio::ip::tcp::acceptor paused(
+        io, {boost::asio::ip::make_address(control.host), control.port});
+    std::atomic<int> sent = 0;
+    driven_node sender(
+        [&](event const& happened) -> effects
+        {
+            if (!std::holds_alternative<timer_fired>(happened))
+            {
+                return {};
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            ++sent;
+            once::message const question =
+                once::key_question{"duty-desk/0", "k1", 3, 4};
+            return {renew_link{address},
+                    send_control{address, question},
+                    wake_at{instant{}}};
+        });
+    auto connection = paused.accept();
+    std::array<char, 8> const greeting{0, 'S', 'P', 0, 0, 0x51, 0, 0};
+    boost::asio::write(connection, boost::asio::buffer(greeting));
+    // Longer than a renewal waits for its greeting.
+    constexpr int messages = 75;
+    while (sent < messages)
+    {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    }
+    constexpr std::size_t min_message_bytes = 16;
+    std::vector<char> received(messages * min_message_bytes);
+    error_code ec;
+    boost::asio::read(connection, boost::asio::buffer(received), ec);
+    CHECK_FALSE(ec);
+    CHECK(sender.metric("control_links_replaced_total").empty());
+}
+
 TEST_CASE("bytes that are not a control message are counted and dropped")
 {
     driven_node node(refuse_all);
--- a/src/membership/tests/membership_test.cpp
+++ b/src/membership/tests/membership_test.cpp
@@ -60,6 +60,17 @@
     return true;
 }
 
+// Starts the nodes, lets them find each other and settle, and takes the store
+// away.
+void start_and_lose_store(fleet& all, int count)
+{
+    start_nodes(all, count);
+    auto const members = static_cast<std::size_t>(count);
+    REQUIRE(all.run_until([&] { return is_complete(all, members); }, 20s));
+    all.run_for(5s);
+    all.store.is_down = true;
+}
+
 bool is_seen_by_all(fleet& all,
                     std::string const& subject,
                     member_status expected_status)
@@ -283,10 +294,7 @@
 {
     auto const seed = GENERATE(range(61U, 71U));
     fleet all(seed);
-    start_nodes(all, 12);
-    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 20s));
-    all.run_for(5s);
-    all.store.is_down = true;
+    start_and_lose_store(all, 12);
     std::string const restarted = address_of(6);
     all.crash(restarted);
     all.run_for(400ms);
@@ -512,10 +520,7 @@
     auto const seed = GENERATE(21U, 22U, 23U, 24U, 25U);
     auto const span = GENERATE(duration(5s), duration(20s));
     fleet all(seed);
-    start_nodes(all, 24);
-    REQUIRE(all.run_until([&] { return is_complete(all, 24); }, 20s));
-    all.run_for(5s);
-    all.store.is_down = true;
+    start_and_lose_store(all, 24);
     std::mt19937 random(seed);
     for (std::string const& from : all.live_addresses())
     {
@@ -544,10 +549,7 @@
     auto const seed = GENERATE(31U, 32U, 33U);
     bool const is_incoming_silent = GENERATE(true, false);
     fleet all(seed);
-    start_nodes(all, 12);
-    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 20s));
-    all.run_for(5s);
-    all.store.is_down = true;
+    start_and_lose_store(all, 12);
     std::string const accused = address_of(6);
     silence(all, accused, true, is_incoming_silent);
     REQUIRE(all.run_until(
@@ -569,10 +571,7 @@
 {
     auto const seed = GENERATE(range(41U, 49U));
     fleet all(seed);
-    start_nodes(all, 12);
-    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 20s));
-    all.run_for(5s);
-    all.store.is_down = true;
+    start_and_lose_store(all, 12);
     std::string const accused = address_of(6);
     // Of another service, so that neither watches the other in its cell.
     std::string const viewer = address_of(12);
@@ -594,10 +593,7 @@
 {
     auto const seed = GENERATE(range(51U, 56U));
     fleet all(seed);
-    start_nodes(all, 12);
-    REQUIRE(all.run_until([&] { return is_complete(all, 12); }, 20s));
-    all.run_for(5s);
-    all.store.is_down = true;
+    start_and_lose_store(all, 12);
     std::string const restarted = address_of(6);
     all.crash(restarted);
     for (std::string const& other : all.live_addresses())
